Lay the board, the fleet's types and the first decisions

Ruled out: a mutex around shared maps (readers on the path of a request would wait for writers), and channels that own the state (a request would need a round trip for each look).

--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// KeyDigest is the SHA-256 digest of a key. Keys themselves are never kept.
+type KeyDigest [32]byte
+
+// Key is an issued key.
+type Key struct {
+	// ID names the key in commands and logs.
+	ID string `json:"id"`
+	// Digest identifies the key on requests.
+	Digest KeyDigest `json:"digest"`
+	// Workspace owns the key.
+	Workspace string `json:"workspace"`
+	// Issued is when the key was issued.
+	Issued time.Time `json:"issued"`
+	// Withdrawn is when the key was withdrawn, or zero.
+	Withdrawn time.Time `json:"withdrawn,omitzero"`
+}
+
+// State is one accepted configuration: the inventory, the keys and the data
+// centres that are taken out.
+type State struct {
+	// Version increases by one with each accepted change.
+	Version uint64
+	// Inventory is the operator's description of the fleet.
+	Inventory Inventory
+	// Keys lists issued and withdrawn keys.
+	Keys []Key
+	// Out lists the data centres that get no new work.
+	Out []string
+}
+
+// View is a State with the lookup tables that the path of a request uses. It
+// is immutable.
+type View struct {
+	State
+
+	workspaces map[string]*Workspace
+	keys       map[KeyDigest]*Key
+	models     map[string]*Model
+	vms        map[string]*VM
+	upstreams  map[string]*Upstream
+	byModel    map[string][]*Upstream
+	routes     []*Route // longest prefix first
+	out        map[string]bool
+}
+
+// NewView returns the view of s. The caller must not modify s afterwards.
+func NewView(s State) *View {
+	v := &View{
+		State:      s,
+		workspaces: make(map[string]*Workspace, len(s.Inventory.Workspaces)),
+		keys:       make(map[KeyDigest]*Key, len(s.Keys)),
+		models:     make(map[string]*Model, len(s.Inventory.Models)),
+		vms:        make(map[string]*VM, len(s.Inventory.VMs)),
+		upstreams:  make(map[string]*Upstream, len(s.Inventory.Upstreams)),
+		byModel:    make(map[string][]*Upstream),
+		out:        make(map[string]bool, len(s.Out)),
+	}
+	inv := &v.Inventory
+	for i := range inv.Workspaces {
+		v.workspaces[inv.Workspaces[i].Name] = &inv.Workspaces[i]
+	}
+	for i := range v.Keys {
+		v.keys[v.Keys[i].Digest] = &v.Keys[i]
+	}
+	for i := range inv.Models {
+		v.models[inv.Models[i].Name] = &inv.Models[i]
+	}
+	for i := range inv.VMs {
+		v.vms[inv.VMs[i].Name] = &inv.VMs[i]
+	}
+	for i := range inv.Upstreams {
+		v.addUpstream(&inv.Upstreams[i])
+	}
+	for i := range inv.Routes {
+		v.routes = append(v.routes, &inv.Routes[i])
+	}
+	slices.SortStableFunc(v.routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	for _, dc := range s.Out {
+		v.out[dc] = true
+	}
+	return v
+}
+
+func (v *View) addUpstream(u *Upstream) {
+	v.upstreams[u.Name] = u
+	if u.Kind != Engine {
+		return
+	}
+	for _, m := range u.Models {
+		v.byModel[m] = append(v.byModel[m], u)
+	}
+}
+
+// Workspace returns the named workspace, or nil.
+func (v *View) Workspace(name string) *Workspace { return v.workspaces[name] }
+
+// Key returns the key with the given digest, or nil.
+func (v *View) Key(d KeyDigest) *Key { return v.keys[d] }
+
+// Model returns the named model, or nil.
+func (v *View) Model(name string) *Model { return v.models[name] }
+
+// VM returns the named VM, or nil.
+func (v *View) VM(name string) *VM { return v.vms[name] }
+
+// Upstream returns the named upstream, or nil.
+func (v *View) Upstream(name string) *Upstream { return v.upstreams[name] }
+
+// Engines returns the engines that serve the model. The slice is shared.
+func (v *View) Engines(model string) []*Upstream { return v.byModel[model] }
+
+// Route returns the route with the longest prefix that matches path, or nil.
+func (v *View) Route(path string) *Route {
+	for _, r := range v.routes {
+		if matchesPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+func matchesPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// IsOut tells whether the data centre is taken out.
+func (v *View) IsOut(dataCentre string) bool { return v.out[dataCentre] }
+
+// DataCentreOf returns the data centre of the upstream's VM, or "".
+func (v *View) DataCentreOf(u *Upstream) string {
+	if vm := v.vms[u.VM]; vm != nil {
+		return vm.DataCentre
+	}
+	return ""
+}
+
+// MayUse tells whether the workspace may use the model.
+func (w *Workspace) MayUse(model string) bool {
+	return len(w.Models) == 0 || slices.Contains(w.Models, model)
+}
+
+// MayRepeat tells whether calls with the method are idempotent on the route.
+func (r *Route) MayRepeat(method string) bool {
+	return slices.Contains(r.Idempotent, method)
+}
