Serve one whole path as separate processes

Need: caller -> gateway -> JSON-RPC -> agent -> engine, whole and streamed, with the configuration read from the table, and one batch accepted, run and read back.

Ruled out: go-zero's own server start (it binds, stops and force-quits on signals itself, which cuts streams) and its circuit breaker; one connection for both classes (a batch answer would stand before an online one); reused connections for calls that may not be repeated (net/http sends GETs again).

Conclusion: the thin path stands; limits are an even static split, routing is least load by report, and there is no queue at the agent yet.

--- /dev/null
+++ b/cmd/baobab-agent/main.go
@@ -0,0 +1,13 @@
+// Command baobab-agent fronts the upstreams of one VM.
+package main
+
+import (
+	"os"
+
+	"github.com/baobablanding/baobablanding/config"
+	"github.com/baobablanding/baobablanding/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Command("baobab-agent", config.AgentRole, daemon.StartAgent))
+}
--- /dev/null
+++ b/cmd/baobab-gateway/main.go
@@ -0,0 +1,13 @@
+// Command baobab-gateway is the entry for callers and operators.
+package main
+
+import (
+	"os"
+
+	"github.com/baobablanding/baobablanding/config"
+	"github.com/baobablanding/baobablanding/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Command("baobab-gateway", config.GatewayRole, daemon.StartGateway))
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Settings configures one daemon. A process learns its addresses and its data
+// centre only from here.
+type Settings struct {
+	// Name is the gateway's name in the inventory, or the VM's for an agent.
+	Name string `yaml:"name"`
+	// DataCentre is where the process runs.
+	DataCentre string `yaml:"data_centre"`
+	// Listen is the IP address and port for callers and operators. Gateways
+	// only.
+	Listen string `yaml:"listen"`
+	// Peer is the IP address and port for the system's own processes.
+	Peer string `yaml:"peer"`
+	// Metrics is the IP address and port of /metrics and the health checks.
+	Metrics string `yaml:"metrics"`
+	// Platform is where the platform's services are reached.
+	Platform PlatformSettings `yaml:"platform"`
+	// AdminKeyDigest is the SHA-256 digest, in hex, of the operators' key.
+	// Gateways only.
+	AdminKeyDigest string `yaml:"admin_key_digest"`
+	// Drain bounds a planned stop. The default is 2m30s.
+	Drain time.Duration `yaml:"drain"`
+	// ReadTimeout bounds the arrival of a request's header. The default is
+	// 10s.
+	ReadTimeout time.Duration `yaml:"read_timeout"`
+	// BodyTimeout bounds the arrival of a request's body. The default is 1m.
+	BodyTimeout time.Duration `yaml:"body_timeout"`
+	// LogLevel is debug, info, warn or error. The default is info.
+	LogLevel string `yaml:"log_level"`
+}
+
+// PlatformSettings locates the platform's services.
+type PlatformSettings struct {
+	// Table is the base address of the table service.
+	Table string `yaml:"table"`
+	// Objects is the base address of the object store.
+	Objects string `yaml:"objects"`
+	// VMs is the base address of the VM list.
+	VMs string `yaml:"vms"`
+	// Weights is the base address of the weight store.
+	Weights string `yaml:"weights"`
+	// Timeout bounds one call. The default is 2s.
+	Timeout time.Duration `yaml:"timeout"`
+}
+
+// Default values of Settings.
+const (
+	defaultDrain           = 150 * time.Second
+	defaultReadTimeout     = 10 * time.Second
+	defaultBodyTimeout     = time.Minute
+	defaultPlatformTimeout = 2 * time.Second
+	defaultLogLevel        = "info"
+)
+
+// Role is the kind of daemon that settings are for.
+type Role string
+
+const (
+	// GatewayRole is baobab-gateway.
+	GatewayRole Role = "gateway"
+	// AgentRole is baobab-agent.
+	AgentRole Role = "agent"
+)
+
+// ReadSettings reads and checks the settings file of a daemon. The error joins
+// a Problem for each fault.
+func ReadSettings(path string, role Role) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseSettings(path, data, role)
+}
+
+// ParseSettings checks the YAML text of a daemon's settings and returns them
+// with their defaults set.
+func ParseSettings(file string, data []byte, role Role) (Settings, error) {
+	var s Settings
+	doc, err := decode(file, data, &s)
+	if err != nil {
+		return s, err
+	}
+	s.setDefaults()
+	c := &checker{file: file, doc: doc}
+	c.settings(&s, role)
+	return s, c.err()
+}
+
+func (s *Settings) setDefaults() {
+	s.Drain = cmp.Or(s.Drain, defaultDrain)
+	s.ReadTimeout = cmp.Or(s.ReadTimeout, defaultReadTimeout)
+	s.BodyTimeout = cmp.Or(s.BodyTimeout, defaultBodyTimeout)
+	s.Platform.Timeout = cmp.Or(s.Platform.Timeout, defaultPlatformTimeout)
+	s.LogLevel = cmp.Or(s.LogLevel, defaultLogLevel)
+}
+
+// FormatSettings returns the YAML text of the settings.
+func FormatSettings(s *Settings) ([]byte, error) { return yaml.Marshal(s) }
+
+func (c *checker) settings(s *Settings, role Role) {
+	if s.Name == "" {
+		c.fail("a name is required", "name")
+	}
+	if s.DataCentre == "" {
+		c.fail("a data centre is required", "data_centre")
+	}
+	c.address(s.Peer, "peer")
+	c.address(s.Metrics, "metrics")
+	c.url(s.Platform.Table, "platform", "table")
+	c.url(s.Platform.Objects, "platform", "objects")
+	c.url(s.Platform.VMs, "platform", "vms")
+	if role == GatewayRole {
+		c.address(s.Listen, "listen")
+		if len(s.AdminKeyDigest) != 64 {
+			c.fail("admin_key_digest must be 64 hex digits", "admin_key_digest")
+		}
+	}
+	for _, f := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"drain", s.Drain},
+		{"read_timeout", s.ReadTimeout},
+		{"body_timeout", s.BodyTimeout},
+	} {
+		if f.value < 0 {
+			c.failf([]any{f.name}, "%s must not be negative", f.name)
+		}
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		c.failf([]any{"log_level"}, "log_level %q must be debug, info, warn or error", s.LogLevel)
+	}
+}
--- /dev/null
+++ b/configstore/store.go
@@ -0,0 +1,322 @@
+// Package configstore keeps the accepted configuration in the platform's
+// table and object store. One head record names the objects that make up the
+// current version; accepting a change is one conditional write of the head.
+package configstore
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/result"
+)
+
+// HeadKey is the key of the head record.
+const HeadKey = "config/head"
+
+const (
+	historyPrefix = "config/history/"
+	keyShards     = 64
+)
+
+// Head names the objects of one accepted version.
+type Head struct {
+	// Version increases by one with each accepted change.
+	Version uint64 `json:"version"`
+	// Operation identifies the change that made this version.
+	Operation string `json:"operation"`
+	// Author says who made the change.
+	Author string `json:"author"`
+	// Summary says what was changed.
+	Summary string `json:"summary"`
+	// Accepted is when the change was accepted.
+	Accepted time.Time `json:"accepted"`
+	// Inventory is the digest of the inventory object.
+	Inventory string `json:"inventory"`
+	// Keys holds the digest of each shard of keys, or "" for an empty shard.
+	Keys []string `json:"keys"`
+	// Out lists the data centres that are taken out.
+	Out []string `json:"out,omitempty"`
+}
+
+// Change describes a change to make.
+type Change struct {
+	// Operation identifies the change; a repeated operation takes effect once.
+	Operation string
+	// Author says who makes the change.
+	Author string
+	// Summary says what is changed.
+	Summary string
+	// Base is the version the change was made against, or 0 for any.
+	Base uint64
+	// Edit returns the changed state. It must not modify its argument.
+	Edit func(fleet.State) (fleet.State, error)
+}
+
+// Store reads and writes the accepted configuration.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+}
+
+// New returns a Store on the platform's services.
+func New(table platform.Table, objects platform.Objects) *Store {
+	return &Store{table: table, objects: objects}
+}
+
+// Head returns the current head and its record version. It returns
+// platform.ErrNotModified while the record still has the known version, and
+// platform.ErrNotFound before the first change.
+func (s *Store) Head(ctx context.Context, known uint64) (Head, uint64, error) {
+	record, err := s.table.GetNewer(ctx, HeadKey, known)
+	if err != nil {
+		return Head{}, 0, err
+	}
+	head, err := decodeHead(record.Value)
+	return head, record.Version, err
+}
+
+func decodeHead(data []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(data, &head); err != nil {
+		return Head{}, fmt.Errorf("decode configuration head: %w", err)
+	}
+	return head, nil
+}
+
+// Load returns the state that head names. Objects that prev, made of prevHead,
+// already holds are not read again; prev may be nil.
+func (s *Store) Load(ctx context.Context, head Head, prev *fleet.State, prevHead Head) (fleet.State, error) {
+	state := fleet.State{Version: head.Version, Out: head.Out}
+	if prev != nil && prevHead.Inventory == head.Inventory {
+		state.Inventory = prev.Inventory
+	} else if err := s.readObject(ctx, inventoryName(head.Inventory), &state.Inventory); err != nil {
+		return state, err
+	}
+	for shard, digest := range head.Keys {
+		keys, err := s.loadShard(ctx, shard, digest, prev, prevHead)
+		if err != nil {
+			return state, err
+		}
+		state.Keys = append(state.Keys, keys...)
+	}
+	return state, nil
+}
+
+func (s *Store) loadShard(ctx context.Context, shard int, digest string, prev *fleet.State, prevHead Head) ([]fleet.Key, error) {
+	if digest == "" {
+		return nil, nil
+	}
+	if prev != nil && shard < len(prevHead.Keys) && prevHead.Keys[shard] == digest {
+		return shardOf(prev.Keys, shard), nil
+	}
+	var keys []fleet.Key
+	err := s.readObject(ctx, keysName(digest), &keys)
+	return keys, err
+}
+
+func shardOf(keys []fleet.Key, shard int) []fleet.Key {
+	var part []fleet.Key
+	for _, k := range keys {
+		if keyShard(k) == shard {
+			part = append(part, k)
+		}
+	}
+	return part
+}
+
+func keyShard(k fleet.Key) int { return int(k.Digest[0]) % keyShards }
+
+func inventoryName(digest string) string { return "config/inventory/" + digest }
+
+func keysName(digest string) string { return "config/keys/" + digest }
+
+func (s *Store) readObject(ctx context.Context, name string, value any) error {
+	data, err := platform.ReadObject(ctx, s.objects, name)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", name, err)
+	}
+	if err := json.Unmarshal(data, value); err != nil {
+		return fmt.Errorf("decode %s: %w", name, err)
+	}
+	return nil
+}
+
+// Apply makes the change and returns the head that holds it. When an answer of
+// the store was lost, it reads back whether the operation took effect, and
+// never applies it twice. It returns a result.ConfigConflict error when
+// another change was accepted first.
+func (s *Store) Apply(ctx context.Context, change Change) (Head, error) {
+	head, record, err := s.Head(ctx, 0)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Head{}, storeError(err)
+	}
+	done, err := s.find(ctx, change.Operation)
+	if err != nil {
+		return Head{}, storeError(err)
+	}
+	if done != nil {
+		return *done, nil
+	}
+	if change.Base != 0 && change.Base != head.Version {
+		return Head{}, result.Errorf(result.ConfigConflict, "version %d was accepted after version %d", head.Version, change.Base)
+	}
+	next, err := s.prepare(ctx, head, change)
+	if err != nil {
+		return Head{}, err
+	}
+	return s.commit(ctx, next, record)
+}
+
+// find returns the head that the operation made, or nil.
+func (s *Store) find(ctx context.Context, operation string) (*Head, error) {
+	record, err := s.table.Get(ctx, operationKey(operation))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	head, err := decodeHead(record.Value)
+	return &head, err
+}
+
+func operationKey(operation string) string { return "config/operation/" + operation }
+
+func historyKey(version uint64) string { return fmt.Sprintf("%s%020d", historyPrefix, version) }
+
+// prepare stores the objects of the changed state and returns its head.
+func (s *Store) prepare(ctx context.Context, head Head, change Change) (Head, error) {
+	state, err := s.Load(ctx, head, emptyIfFirst(head), head)
+	if err != nil {
+		return Head{}, storeError(err)
+	}
+	state, err = change.Edit(state)
+	if err != nil {
+		return Head{}, err
+	}
+	next := Head{
+		Version:   head.Version + 1,
+		Operation: change.Operation,
+		Author:    change.Author,
+		Summary:   change.Summary,
+		Accepted:  time.Now().UTC(),
+		Keys:      make([]string, keyShards),
+		Out:       slices.Sorted(slices.Values(state.Out)),
+	}
+	next.Inventory, err = s.writeObject(ctx, inventoryName, state.Inventory, head.Inventory)
+	if err != nil {
+		return Head{}, storeError(err)
+	}
+	for shard := range keyShards {
+		keys := shardOf(state.Keys, shard)
+		if len(keys) == 0 {
+			continue
+		}
+		known := ""
+		if shard < len(head.Keys) {
+			known = head.Keys[shard]
+		}
+		next.Keys[shard], err = s.writeObject(ctx, keysName, keys, known)
+		if err != nil {
+			return Head{}, storeError(err)
+		}
+	}
+	return next, nil
+}
+
+// emptyIfFirst returns an empty state to build on before the first change.
+func emptyIfFirst(head Head) *fleet.State {
+	if head.Version == 0 {
+		return &fleet.State{}
+	}
+	return nil
+}
+
+// writeObject stores value under a name made of its digest, which it returns.
+// An object with the known digest is not written again.
+func (s *Store) writeObject(ctx context.Context, name func(string) string, value any, known string) (string, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return "", fmt.Errorf("encode configuration: %w", err)
+	}
+	sum := sha256.Sum256(data)
+	digest := hex.EncodeToString(sum[:8])
+	if digest == known {
+		return digest, nil
+	}
+	return digest, s.objects.Put(ctx, name(digest), bytes.NewReader(data))
+}
+
+// commit writes the head, its history and its operation in one transaction.
+func (s *Store) commit(ctx context.Context, next Head, record uint64) (Head, error) {
+	data, err := json.Marshal(next)
+	if err != nil {
+		return Head{}, fmt.Errorf("encode configuration head: %w", err)
+	}
+	err = s.table.Commit(ctx,
+		platform.Op{Kind: platform.Put, Key: HeadKey, Value: data, Version: record},
+		platform.Op{Kind: platform.Put, Key: operationKey(next.Operation), Value: data},
+		platform.Op{Kind: platform.Put, Key: historyKey(next.Version), Value: data},
+	)
+	if err == nil {
+		return next, nil
+	}
+	done, findErr := s.find(ctx, next.Operation)
+	switch {
+	case findErr != nil:
+		return Head{}, &result.Error{
+			Code:    result.StoreUnavailable,
+			Detail:  fmt.Sprintf("the outcome of operation %s is unknown; repeat it with the same id", next.Operation),
+			Verdict: result.MayHaveRun,
+		}
+	case done != nil:
+		return *done, nil
+	case errors.Is(err, platform.ErrConflict):
+		return Head{}, s.conflict(ctx)
+	default:
+		return Head{}, &result.Error{
+			Code:    result.StoreUnavailable,
+			Detail:  fmt.Sprintf("operation %s had not taken effect when it was read back; repeat it with the same id", next.Operation),
+			Verdict: result.MayHaveRun,
+		}
+	}
+}
+
+func (s *Store) conflict(ctx context.Context) error {
+	head, _, err := s.Head(ctx, 0)
+	if err != nil {
+		return result.Errorf(result.ConfigConflict, "another change was accepted first")
+	}
+	return result.Errorf(result.ConfigConflict, "version %d by %s was accepted first", head.Version, head.Author)
+}
+
+// History returns the accepted heads in order of their versions, starting
+// after the given version.
+func (s *Store) History(ctx context.Context, after uint64, limit int) ([]Head, error) {
+	records, err := s.table.Scan(ctx, historyPrefix, historyKey(after), limit)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	heads := make([]Head, 0, len(records))
+	for _, r := range records {
+		head, err := decodeHead(r.Value)
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, head)
+	}
+	return heads, nil
+}
+
+func storeError(err error) error {
+	return &result.Error{Code: result.StoreUnavailable, Detail: err.Error()}
+}
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,120 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+
+	"github.com/baobablanding/baobablanding/agent"
+	"github.com/baobablanding/baobablanding/batch"
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/config"
+	"github.com/baobablanding/baobablanding/configstore"
+	"github.com/baobablanding/baobablanding/controller/configsync"
+	"github.com/baobablanding/baobablanding/controller/dispatch"
+	"github.com/baobablanding/baobablanding/controller/engines"
+	"github.com/baobablanding/baobablanding/httpserve"
+	"github.com/baobablanding/baobablanding/peer"
+	"github.com/baobablanding/baobablanding/platform"
+)
+
+// Agent is a running agent process.
+type Agent struct {
+	board       *blackboard.Board
+	vm          string
+	incarnation string
+	agent       *agent.Agent
+	controllers *group
+	peers       *peer.Server
+	metrics     *httpserve.Server
+}
+
+// StartAgent starts an agent.
+func StartAgent(settings config.Settings, logger *log.Logger) (Process, error) {
+	a := &Agent{
+		board:       blackboard.New(),
+		vm:          settings.Name,
+		incarnation: uuid.NewString(),
+		controllers: newGroup(),
+	}
+	if err := a.start(settings, logger); err != nil {
+		a.Kill()
+		return nil, err
+	}
+	return a, nil
+}
+
+func (a *Agent) start(settings config.Settings, logger *log.Logger) error {
+	table := platform.NewTable(settings.Platform.Table, settings.Platform.Timeout)
+	objects := platform.NewObjects(settings.Platform.Objects, settings.Platform.Timeout)
+	reg := newRegistry()
+	a.agent = agent.New(a.board, agent.NewMetrics(reg))
+
+	var err error
+	if a.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
+		return err
+	}
+	if a.peers, err = peer.Listen(settings.Peer, a.agent.Handlers(), a.greet); err != nil {
+		return err
+	}
+	a.board.Phase.Publish(blackboard.Serving)
+	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), logger).Run)
+	a.controllers.run(engines.New(a.board, agent.NewProber(), a.vm, logger).Run)
+	a.controllers.run(dispatch.New(a.board, batch.NewStore(table, objects), a.agent, a.vm, logger).Run)
+	a.controllers.run(a.announce)
+	return nil
+}
+
+// greet tells a new connection the state of the upstreams.
+func (a *Agent) greet(s *peer.Session) {
+	_ = s.Notify(context.Background(), peer.MethodStatus, a.status())
+}
+
+// announce tells every connection when the state of the upstreams changes.
+func (a *Agent) announce(ctx context.Context) {
+	for {
+		ups, phase := a.board.Upstreams.Load(), a.board.Phase.Load()
+		a.peers.Broadcast(ctx, peer.MethodStatus, a.status())
+		select {
+		case <-ups.Changed():
+		case <-phase.Changed():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) status() peer.Status {
+	s := peer.Status{
+		VM:          a.vm,
+		Incarnation: a.incarnation,
+		Draining:    a.board.Phase.Value() == blackboard.Draining,
+	}
+	if view := a.board.Config.Value().View; view != nil {
+		s.ConfigVersion = view.Version
+	}
+	for _, up := range a.board.Upstreams.Value().All {
+		s.Reports = append(s.Reports, agent.Report(up))
+	}
+	return s
+}
+
+// Stop implements Process.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.board.Phase.Publish(blackboard.Draining)
+	err := a.agent.Wait(ctx)
+	a.Kill()
+	return err
+}
+
+// Kill implements Process.
+func (a *Agent) Kill() {
+	a.controllers.stop()
+	if a.peers != nil {
+		a.peers.Close()
+	}
+	if a.metrics != nil {
+		a.metrics.Close()
+	}
+}
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobablanding/baobablanding/batch"
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/config"
+	"github.com/baobablanding/baobablanding/configstore"
+	"github.com/baobablanding/baobablanding/controller/configsync"
+	"github.com/baobablanding/baobablanding/controller/limits"
+	"github.com/baobablanding/baobablanding/controller/upstreams"
+	"github.com/baobablanding/baobablanding/gateway"
+	"github.com/baobablanding/baobablanding/httpserve"
+	"github.com/baobablanding/baobablanding/peer"
+	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/serve"
+)
+
+// Gateway is a running gateway process.
+type Gateway struct {
+	board       *blackboard.Board
+	controllers *group
+	agents      *peer.Pool
+	http        *httpserve.Server
+	metrics     *httpserve.Server
+}
+
+// StartGateway starts a gateway.
+func StartGateway(settings config.Settings, logger *log.Logger) (Process, error) {
+	g := &Gateway{board: blackboard.New(), controllers: newGroup()}
+	if err := g.start(settings, logger); err != nil {
+		g.Kill()
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *Gateway) start(settings config.Settings, logger *log.Logger) error {
+	table := platform.NewTable(settings.Platform.Table, settings.Platform.Timeout)
+	objects := platform.NewObjects(settings.Platform.Objects, settings.Platform.Timeout)
+	configs := configstore.New(table, objects)
+	reg := newRegistry()
+
+	ups := upstreams.New(g.board, logger)
+	g.agents = peer.NewPool(statusHandlers(ups), ups.Link)
+	ups.SetConnector(g.agents)
+	g.controllers.run(configsync.New(g.board, configs, logger).Run)
+	g.controllers.run(limits.New(g.board).Run)
+	g.controllers.run(ups.Run)
+
+	server := serve.New(g.board, g.agents, settings.DataCentre, serve.NewMetrics(reg))
+	front := gateway.New(settings, g.board, server, configs, batch.NewStore(table, objects))
+	var err error
+	if g.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
+		return err
+	}
+	if g.http, err = front.Listen(); err != nil {
+		return err
+	}
+	g.board.Phase.Publish(blackboard.Serving)
+	return nil
+}
+
+// statusHandlers returns the handlers of what agents report.
+func statusHandlers(ups *upstreams.Controller) peer.Handlers {
+	return peer.Handlers{
+		peer.MethodStatus: func(_ context.Context, from *peer.Session, params json.RawMessage) (any, error) {
+			status, err := peer.Decode[peer.Status](params)
+			if err != nil {
+				return nil, err
+			}
+			ups.Status(from.Remote, status)
+			return nil, nil
+		},
+	}
+}
+
+// Stop implements Process.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.board.Phase.Publish(blackboard.Draining)
+	err := g.http.Shutdown(ctx)
+	g.release()
+	return err
+}
+
+// Kill implements Process.
+func (g *Gateway) Kill() {
+	if g.http != nil {
+		g.http.Close()
+	}
+	g.release()
+}
+
+func (g *Gateway) release() {
+	if g.agents != nil {
+		g.agents.Close()
+	}
+	g.controllers.stop()
+	if g.metrics != nil {
+		g.metrics.Close()
+	}
+}
--- /dev/null
+++ b/devfleet/fleet.go
@@ -0,0 +1,376 @@
+package devfleet
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/baobablanding/baobablanding/config"
+	"github.com/baobablanding/baobablanding/ctl"
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/gateway"
+)
+
+// Options sizes a fleet. Zero values take the defaults of the demo.
+type Options struct {
+	// Bin is the folder with the built programs.
+	Bin string
+	// FirstGateway is the address of the first gateway for callers, or empty
+	// for a free port.
+	FirstGateway string
+	// DataCentres is the number of data centres.
+	DataCentres int
+	// Gateways is the number of gateways.
+	Gateways int
+	// Engines is the number of engines, each on a VM of its own.
+	Engines int
+	// Services is the number of plain services, each on a VM of its own.
+	Services int
+	// Workspaces lists the tenants.
+	Workspaces []fleet.Workspace
+	// Rules bounds the fleet.
+	Rules fleet.Rules
+	// EngineArgs are further arguments of the stand-in engines.
+	EngineArgs []string
+	// Slots is the number of requests an engine gets at once.
+	Slots int
+	// ColdSlots is the number of requests an engine gets in cold start.
+	ColdSlots int
+	// Edit changes the inventory before it is applied. It may be nil.
+	Edit func(*fleet.Inventory)
+}
+
+// Names of the demo's model and route.
+const (
+	ModelName   = "demo-chat"
+	RoutePrefix = "/orders"
+)
+
+func (o *Options) setDefaults() {
+	o.DataCentres = cmp.Or(o.DataCentres, 2)
+	o.Gateways = cmp.Or(o.Gateways, 2)
+	o.Engines = cmp.Or(o.Engines, 4)
+	o.Services = cmp.Or(o.Services, 1)
+	o.Slots = cmp.Or(o.Slots, 8)
+	o.ColdSlots = cmp.Or(o.ColdSlots, 2)
+	if len(o.Workspaces) == 0 {
+		o.Workspaces = []fleet.Workspace{
+			{Name: "garrafon", Rate: 200, Burst: 100},
+			{Name: "guild", Rate: 200, Burst: 100},
+		}
+	}
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	// Inventory is the inventory that was applied first.
+	Inventory fleet.Inventory
+	// AdminKey is the operators' key.
+	AdminKey string
+	// Keys maps a workspace to its key.
+	Keys map[string]string
+	// Platform is the base address of the platform's stand-in.
+	Platform string
+
+	opts      Options
+	dir       string
+	processes []*Process
+}
+
+// Start starts the stand-ins and daemons, applies the inventory and issues a
+// key for each workspace.
+func Start(ctx context.Context, opts Options) (*Fleet, error) {
+	opts.setDefaults()
+	dir, err := os.MkdirTemp("", "baobab-fleet-")
+	if err != nil {
+		return nil, fmt.Errorf("make folder: %w", err)
+	}
+	f := &Fleet{opts: opts, dir: dir, Keys: make(map[string]string), AdminKey: "admin-" + rand.Text()}
+	if err := f.start(ctx); err != nil {
+		f.Kill()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	if err := f.plan(); err != nil {
+		return err
+	}
+	for _, u := range f.Inventory.Upstreams {
+		if err := f.startUpstream(ctx, u); err != nil {
+			return err
+		}
+	}
+	for _, vm := range f.Inventory.VMs {
+		if err := f.startAgent(vm); err != nil {
+			return err
+		}
+	}
+	for _, g := range f.Inventory.Gateways {
+		if err := f.startGateway(ctx, g); err != nil {
+			return err
+		}
+	}
+	return f.configure(ctx)
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	address, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	f.Platform = "http://" + address
+	if err := f.run("platform", "baobab-standin", "platform", "--listen", address); err != nil {
+		return err
+	}
+	return waitOK(ctx, f.Platform+"/vms")
+}
+
+// run starts one of the project's programs.
+func (f *Fleet) run(name, programName string, args ...string) error {
+	path, err := program(f.opts.Bin, programName)
+	if err != nil {
+		return err
+	}
+	p := &Process{
+		Name:    name,
+		Args:    append([]string{path}, args...),
+		logPath: filepath.Join(f.dir, name+".log"),
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	f.processes = append(f.processes, p)
+	return nil
+}
+
+// addresses hands out free loopback addresses and keeps the first error.
+type addresses struct{ err error }
+
+func (a *addresses) next() string {
+	address, err := FreeAddress()
+	a.err = cmp.Or(a.err, err)
+	return address
+}
+
+// plan makes the inventory.
+func (f *Fleet) plan() error {
+	var free addresses
+	inv := &f.Inventory
+	inv.Rules = f.opts.Rules
+	inv.Workspaces = f.opts.Workspaces
+	inv.Models = []fleet.Model{{Name: ModelName}}
+	for i := range f.opts.DataCentres {
+		inv.DataCentres = append(inv.DataCentres, fleet.DataCentre{Name: dataCentre(i), Region: "local"})
+	}
+	for i := range f.opts.Gateways {
+		inv.Gateways = append(inv.Gateways, fleet.Gateway{
+			Name:       fmt.Sprintf("gateway-%d", i+1),
+			DataCentre: dataCentre(i % f.opts.DataCentres),
+			Peer:       free.next(),
+			HTTP:       free.next(),
+		})
+	}
+	if f.opts.FirstGateway != "" {
+		inv.Gateways[0].HTTP = f.opts.FirstGateway
+	}
+	for i := range f.opts.Engines {
+		f.addUpstream(&free, i, fleet.Upstream{
+			Name: fmt.Sprintf("engine-%d", i+1), Kind: fleet.Engine,
+			Models: []string{ModelName}, Slots: f.opts.Slots, ColdSlots: f.opts.ColdSlots,
+		})
+	}
+	route := fleet.Route{Name: "orders", Prefix: RoutePrefix, Idempotent: []string{"GET"}}
+	for i := range f.opts.Services {
+		name := fmt.Sprintf("service-%d", i+1)
+		f.addUpstream(&free, i, fleet.Upstream{Name: name, Kind: fleet.Service, Slots: 32, ColdSlots: 32})
+		route.Upstreams = append(route.Upstreams, name)
+	}
+	if f.opts.Services > 0 {
+		inv.Routes = []fleet.Route{route}
+	}
+	if f.opts.Edit != nil {
+		f.opts.Edit(inv)
+	}
+	inv.SetDefaults()
+	return free.err
+}
+
+func dataCentre(i int) string { return fmt.Sprintf("dc-%d", i+1) }
+
+// addUpstream adds an upstream on a VM of its own.
+func (f *Fleet) addUpstream(free *addresses, i int, u fleet.Upstream) {
+	u.VM = "vm-" + u.Name
+	u.URL = "http://" + free.next()
+	f.Inventory.VMs = append(f.Inventory.VMs, fleet.VM{Name: u.VM, DataCentre: dataCentre(i % f.opts.DataCentres), Agent: free.next()})
+	f.Inventory.Upstreams = append(f.Inventory.Upstreams, u)
+}
+
+func (f *Fleet) startUpstream(ctx context.Context, u fleet.Upstream) error {
+	address := u.URL[len("http://"):]
+	var err error
+	if u.Kind == fleet.Engine {
+		args := append([]string{"engine", "--listen", address}, f.opts.EngineArgs...)
+		err = f.run(u.Name, "baobab-standin", args...)
+	} else {
+		err = f.run(u.Name, "baobab-standin", "service", "--listen", address)
+	}
+	if err != nil {
+		return err
+	}
+	return waitOK(ctx, u.URL+"/health")
+}
+
+func (f *Fleet) startAgent(vm fleet.VM) error {
+	metrics, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	return f.runDaemon("agent-"+vm.Name, "baobab-agent", config.Settings{
+		Name: vm.Name, DataCentre: vm.DataCentre, Peer: vm.Agent, Metrics: metrics,
+	})
+}
+
+func (f *Fleet) startGateway(ctx context.Context, g fleet.Gateway) error {
+	metrics, err := FreeAddress()
+	if err != nil {
+		return err
+	}
+	sum := sha256.Sum256([]byte(f.AdminKey))
+	err = f.runDaemon(g.Name, "baobab-gateway", config.Settings{
+		Name: g.Name, DataCentre: g.DataCentre, Listen: g.HTTP, Peer: g.Peer, Metrics: metrics,
+		AdminKeyDigest: hex.EncodeToString(sum[:]),
+	})
+	if err != nil {
+		return err
+	}
+	return waitOK(ctx, "http://"+g.HTTP+"/healthz")
+}
+
+// runDaemon writes the settings of a daemon and starts it.
+func (f *Fleet) runDaemon(name, programName string, s config.Settings) error {
+	s.Platform = config.PlatformSettings{Table: f.Platform, Objects: f.Platform, VMs: f.Platform, Weights: f.Platform}
+	data, err := config.FormatSettings(&s)
+	if err != nil {
+		return fmt.Errorf("settings of %s: %w", name, err)
+	}
+	path := filepath.Join(f.dir, name+".yaml")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return fmt.Errorf("settings of %s: %w", name, err)
+	}
+	return f.run(name, programName, "--settings", path)
+}
+
+// configure applies the inventory, issues keys and waits until the fleet serves.
+func (f *Fleet) configure(ctx context.Context) error {
+	text, err := config.FormatInventory(&f.Inventory)
+	if err != nil {
+		return err
+	}
+	client := f.Client(0)
+	request := gateway.ApplyRequest{Edit: f.edit(), Inventory: string(text)}
+	var applied gateway.ApplyResponse
+	if err := client.Post(ctx, "/admin/config", request, &applied); err != nil {
+		return fmt.Errorf("apply inventory: %w", err)
+	}
+	for _, w := range f.Inventory.Workspaces {
+		var key gateway.KeyResponse
+		if err := client.Post(ctx, "/admin/keys", gateway.KeyRequest{Edit: f.edit(), Workspace: w.Name}, &key); err != nil {
+			return fmt.Errorf("issue key: %w", err)
+		}
+		f.Keys[w.Name] = key.Key
+		applied.Version = key.Version
+	}
+	return f.waitServing(ctx, applied.Version)
+}
+
+func (f *Fleet) edit() gateway.Edit {
+	return gateway.Edit{Operation: uuid.NewString(), Author: "devfleet"}
+}
+
+// Client returns an operators' client of the gateway with the given index.
+func (f *Fleet) Client(i int) *ctl.Client {
+	return ctl.NewClient(f.URL(i), f.AdminKey)
+}
+
+// URL returns the callers' address of the gateway with the given index.
+func (f *Fleet) URL(i int) string { return "http://" + f.Inventory.Gateways[i].HTTP }
+
+// waitServing waits until every gateway has the version and reaches every
+// upstream.
+func (f *Fleet) waitServing(ctx context.Context, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for i := range f.Inventory.Gateways {
+		for !f.serving(ctx, i, version) {
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return fmt.Errorf("gateway %d does not serve: %w", i, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) serving(ctx context.Context, i int, version uint64) bool {
+	var status gateway.StatusResponse
+	var ups []gateway.UpstreamInfo
+	if f.Client(i).Get(ctx, "/admin/status", &status) != nil || status.ConfigVersion < version {
+		return false
+	}
+	if f.Client(i).Get(ctx, "/admin/upstreams", &ups) != nil || len(ups) != len(f.Inventory.Upstreams) {
+		return false
+	}
+	return !slices.ContainsFunc(ups, func(u gateway.UpstreamInfo) bool {
+		return !u.Connected || (u.State != "ready" && u.State != "cold")
+	})
+}
+
+// Process returns the named process, or nil.
+func (f *Fleet) Process(name string) *Process {
+	for _, p := range f.processes {
+		if p.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// Stop asks every process for a planned stop: gateways first, then agents,
+// then the stand-ins.
+func (f *Fleet) Stop(ctx context.Context) error {
+	var errs []error
+	for _, p := range slices.Backward(f.processes) {
+		errs = append(errs, p.Stop(ctx))
+	}
+	err := errors.Join(errs...)
+	if err == nil {
+		os.RemoveAll(f.dir)
+	}
+	return err
+}
+
+// Kill ends every process at once and removes the fleet's folder.
+func (f *Fleet) Kill() {
+	for _, p := range slices.Backward(f.processes) {
+		p.Kill()
+	}
+	os.RemoveAll(f.dir)
+}
--- /dev/null
+++ b/gateway/batches.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/baobablanding/baobablanding/batch"
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/result"
+)
+
+// defaultWindow is the time until a job is due when the caller names none.
+const defaultWindow = 24 * time.Hour
+
+// idempotencyHeader makes a repeated submission find the first job.
+const idempotencyHeader = "Idempotency-Key"
+
+func (g *Gateway) batchRoutes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/batches", Handler: g.withWorkspace(g.createBatch)},
+		{Method: http.MethodGet, Path: "/v1/batches", Handler: g.withWorkspace(g.listBatches)},
+		{Method: http.MethodGet, Path: "/v1/batches/:id", Handler: g.withWorkspace(g.getBatch)},
+		{Method: http.MethodPost, Path: "/v1/batches/:id/cancel", Handler: g.withWorkspace(g.cancelBatch)},
+	}
+}
+
+// batchRequest asks for a new job.
+type batchRequest struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Due              *time.Time        `json:"due"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+func (r *batchRequest) due(now time.Time) (time.Time, error) {
+	if r.Due != nil {
+		return r.Due.UTC(), nil
+	}
+	if r.CompletionWindow == "" {
+		return now.Add(defaultWindow), nil
+	}
+	d, err := time.ParseDuration(r.CompletionWindow)
+	if err != nil || d <= 0 {
+		return time.Time{}, result.Errorf(result.BadRequest, "completion_window %q is not a positive duration", r.CompletionWindow)
+	}
+	return now.Add(d), nil
+}
+
+// batchObject describes a job to callers.
+type batchObject struct {
+	ID               string            `json:"id"`
+	Object           string            `json:"object"`
+	Endpoint         string            `json:"endpoint"`
+	InputFileID      string            `json:"input_file_id"`
+	CompletionWindow string            `json:"completion_window"`
+	Status           string            `json:"status"`
+	OutputFileID     string            `json:"output_file_id,omitempty"`
+	ErrorFileID      string            `json:"error_file_id,omitempty"`
+	CreatedAt        int64             `json:"created_at"`
+	ExpiresAt        int64             `json:"expires_at"`
+	CompletedAt      int64             `json:"completed_at,omitempty"`
+	CancelledAt      int64             `json:"cancelled_at,omitempty"`
+	RequestCounts    requestCounts     `json:"request_counts"`
+	Metadata         map[string]string `json:"metadata,omitempty"`
+}
+
+type requestCounts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+func newBatchObject(j batch.Job, p batch.Progress) batchObject {
+	b := batchObject{
+		ID:               j.ID,
+		Object:           "batch",
+		Endpoint:         j.Endpoint,
+		InputFileID:      j.InputFile,
+		CompletionWindow: j.Due.Sub(j.Created).Round(time.Second).String(),
+		Status:           string(j.State),
+		CreatedAt:        j.Created.Unix(),
+		ExpiresAt:        j.Due.Unix(),
+		RequestCounts:    requestCounts{Total: j.Items, Completed: p.Completed, Failed: p.Failed},
+		Metadata:         j.Metadata,
+	}
+	switch j.State {
+	case batch.Completed:
+		b.CompletedAt = j.Ended.Unix()
+	case batch.Cancelled:
+		b.CancelledAt = j.Ended.Unix()
+	}
+	if j.State != batch.Active {
+		b.OutputFileID = j.OutputFile()
+		if p.Failed > 0 {
+			b.ErrorFileID = j.ErrorsFile()
+		}
+	}
+	return b
+}
+
+func (g *Gateway) createBatch(w http.ResponseWriter, r *http.Request, workspace *fleet.Workspace) error {
+	if g.board.Phase.Value() != blackboard.Serving {
+		return result.New(result.Draining, result.NotRun)
+	}
+	if err := checkJSONType(r); err != nil {
+		return err
+	}
+	rules := g.view().Inventory.Rules
+	body, err := readBody(w, r, rules.MaxBody, g.settings.BodyTimeout)
+	if err != nil {
+		return err
+	}
+	var req batchRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return result.Errorf(result.BadRequest, "the body is not valid JSON: %v", err)
+	}
+	if err := batch.CheckEndpoint(req.Endpoint); err != nil {
+		return err
+	}
+	due, err := req.due(time.Now())
+	if err != nil {
+		return err
+	}
+	job, err := g.jobs.Accept(r.Context(), batch.Submission{
+		Workspace:      workspace,
+		Endpoint:       req.Endpoint,
+		InputFile:      req.InputFileID,
+		Due:            due,
+		IdempotencyKey: r.Header.Get(idempotencyHeader),
+		Metadata:       req.Metadata,
+	}, rules)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, newBatchObject(job, batch.Progress{}))
+	return nil
+}
+
+func (g *Gateway) writeBatch(w http.ResponseWriter, r *http.Request, job batch.Job) error {
+	p, err := g.jobs.Progress(r.Context(), &job)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, newBatchObject(job, p))
+	return nil
+}
+
+func (g *Gateway) getBatch(w http.ResponseWriter, r *http.Request, workspace *fleet.Workspace) error {
+	job, err := g.jobs.Job(r.Context(), workspace.Name, pathvar.Vars(r)["id"])
+	if err != nil {
+		return err
+	}
+	return g.writeBatch(w, r, job)
+}
+
+func (g *Gateway) cancelBatch(w http.ResponseWriter, r *http.Request, workspace *fleet.Workspace) error {
+	job, err := g.jobs.Cancel(r.Context(), workspace.Name, pathvar.Vars(r)["id"])
+	if err != nil {
+		return err
+	}
+	return g.writeBatch(w, r, job)
+}
+
+func (g *Gateway) listBatches(w http.ResponseWriter, r *http.Request, workspace *fleet.Workspace) error {
+	jobs, err := g.jobs.Jobs(r.Context(), workspace.Name)
+	if err != nil {
+		return err
+	}
+	list := make([]batchObject, 0, len(jobs))
+	for _, job := range jobs {
+		p, err := g.jobs.Progress(r.Context(), &job)
+		if err != nil {
+			return err
+		}
+		list = append(list, newBatchObject(job, p))
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": list, "has_more": false})
+	return nil
+}
--- /dev/null
+++ b/peer/pool.go
@@ -0,0 +1,234 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/result"
+)
+
+const (
+	dialTimeout  = time.Second
+	minRedial    = 50 * time.Millisecond
+	maxRedial    = time.Second
+	chunkBacklog = 1024 // chunks that a slow reader may leave unread
+)
+
+// LinkEvent reports that a connection was made or lost.
+type LinkEvent struct {
+	// Address is the remote address.
+	Address string
+	// Up tells whether the connection is usable.
+	Up bool
+}
+
+// Pool keeps connections to other processes: for each address one for online
+// requests and control, and one for batch work, so that neither waits behind
+// the other. Looking up a connection is wait-free.
+type Pool struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	handlers Handlers
+	event    func(LinkEvent)
+
+	writer sync.Mutex
+	links  atomic.Pointer[map[string]*links]
+}
+
+// links holds the connections to one address.
+type links struct {
+	online link
+	batch  link
+	stop   context.CancelFunc
+}
+
+func (l *links) of(class fleet.Class) *link {
+	if class == fleet.Batch {
+		return &l.batch
+	}
+	return &l.online
+}
+
+// link is one connection that is made again whenever it is lost.
+type link struct {
+	address string
+	class   fleet.Class
+	session atomic.Pointer[Session]
+	answers sync.Map // RunRequest.ID to *answer
+}
+
+// NewPool returns a pool without connections. Messages that the remote
+// processes send are served by handlers. If event is not nil, it is called
+// when the online connection with an address is made or lost.
+func NewPool(handlers Handlers, event func(LinkEvent)) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &Pool{ctx: ctx, cancel: cancel, handlers: handlers, event: event}
+	p.links.Store(&map[string]*links{})
+	return p
+}
+
+// SetAddresses makes the pool keep connections with exactly these addresses.
+func (p *Pool) SetAddresses(addresses []string) {
+	p.writer.Lock()
+	defer p.writer.Unlock()
+	old := *p.links.Load()
+	next := make(map[string]*links, len(addresses))
+	for _, address := range addresses {
+		if l, ok := old[address]; ok {
+			next[address] = l
+			continue
+		}
+		if _, ok := next[address]; !ok {
+			next[address] = p.connect(address)
+		}
+	}
+	p.links.Store(&next)
+	for address, l := range maps.All(old) {
+		if next[address] != l {
+			l.stop()
+		}
+	}
+}
+
+func (p *Pool) connect(address string) *links {
+	ctx, stop := context.WithCancel(p.ctx)
+	l := &links{stop: stop}
+	for _, class := range []fleet.Class{fleet.Online, fleet.Batch} {
+		k := l.of(class)
+		k.address, k.class = address, class
+		p.wg.Add(1)
+		go p.keep(ctx, k)
+	}
+	return l
+}
+
+// keep makes the connection again, with growing delays, until ctx ends.
+func (p *Pool) keep(ctx context.Context, l *link) {
+	defer p.wg.Done()
+	delay := minRedial
+	for ctx.Err() == nil {
+		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", l.address)
+		if err == nil {
+			delay = minRedial
+			p.serve(ctx, l, conn)
+		}
+		if !sleep(ctx, delay) {
+			return
+		}
+		delay = min(2*delay, maxRedial)
+	}
+}
+
+// sleep waits for d and returns whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// serve uses the connection until it is lost.
+func (p *Pool) serve(ctx context.Context, l *link, conn net.Conn) {
+	session := &Session{Remote: l.address}
+	handlers := maps.Clone(p.handlers)
+	if handlers == nil {
+		handlers = Handlers{}
+	}
+	handlers[MethodChunk] = l.chunk
+	ready := make(chan struct{})
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	session.conn = jsonrpc2.NewConn(ctx, stream, dispatcher{session, handlers, ready}, silent)
+	close(ready)
+	l.session.Store(session)
+	p.report(l, true)
+	<-session.Done()
+	l.session.CompareAndSwap(session, nil)
+	p.report(l, false)
+}
+
+func (p *Pool) report(l *link, up bool) {
+	if p.event != nil && l.class == fleet.Online {
+		p.event(LinkEvent{Address: l.address, Up: up})
+	}
+}
+
+// chunk hands a part of an answer to the call that waits for it. A call that
+// does not keep up is ended.
+func (l *link) chunk(_ context.Context, _ *Session, params json.RawMessage) (any, error) {
+	c, err := Decode[Chunk](params)
+	if err != nil {
+		return nil, err
+	}
+	value, ok := l.answers.Load(c.ID)
+	if !ok {
+		return nil, nil
+	}
+	answer := value.(*answer)
+	select {
+	case answer.chunks <- c:
+	default:
+		answer.overflow()
+	}
+	return nil, nil
+}
+
+// session returns the connection for the class, or an error that says that
+// nothing was sent.
+func (p *Pool) session(address string, class fleet.Class) (*link, *Session, error) {
+	l, ok := (*p.links.Load())[address]
+	if !ok {
+		return nil, nil, result.Errorf(result.UpstreamUnreachable, "no connection with %s", address)
+	}
+	k := l.of(class)
+	s := k.session.Load()
+	if s == nil {
+		return nil, nil, result.Errorf(result.UpstreamUnreachable, "not connected with %s", address)
+	}
+	return k, s, nil
+}
+
+// Connected tells whether the online connection with the address is usable.
+func (p *Pool) Connected(address string) bool {
+	_, _, err := p.session(address, fleet.Online)
+	return err == nil
+}
+
+// Call sends a request on the online connection and waits for its answer.
+func (p *Pool) Call(ctx context.Context, address, method string, params, value any) error {
+	_, s, err := p.session(address, fleet.Online)
+	if err != nil {
+		return err
+	}
+	if err := s.conn.Call(ctx, method, params, value); err != nil {
+		return decodeError(err)
+	}
+	return nil
+}
+
+// Notify sends a notification on the online connection.
+func (p *Pool) Notify(ctx context.Context, address, method string, params any) error {
+	_, s, err := p.session(address, fleet.Online)
+	if err != nil {
+		return err
+	}
+	return s.Notify(ctx, method, params)
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.cancel()
+	p.wg.Wait()
+}
