Let gateways gossip, and run fleets inside a test

Need: limits, configuration and membership need gateways that know of each other, and every failure test needs daemons that it can stop, start and cut off one by one, with a relay before the platform.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -1,21 +1,18 @@
 package blackboard
 
-import (
-	"sync/atomic"
-	"time"
-
-	"github.com/baobablanding/baobablanding/fleet"
-)
-
 // Board is the shared state of one process. Each section has one writing
 // controller, which docs/DESIGN.md names.
 type Board struct {
 	// Config is the accepted configuration that is in force here.
 	Config Section[*Config]
+	// Contact is when the store was last read.
+	Contact Section[Contact]
 	// Phase is the life cycle of the process.
 	Phase Section[Phase]
 	// Upstreams is the set of upstreams and what is known of each.
 	Upstreams Section[*Upstreams]
+	// Members is what a gateway knows of the other gateways.
+	Members Section[*Members]
 	// Limits holds a rate limiter for each workspace.
 	Limits Section[*Limits]
 }
@@ -25,124 +22,7 @@
 	b := new(Board)
 	b.Config.Publish(new(Config))
 	b.Upstreams.Publish(NewUpstreams(nil))
+	b.Members.Publish(new(Members))
 	b.Limits.Publish(new(Limits))
 	return b
 }
-
-// Config is the configuration in force.
-type Config struct {
-	// View is the configuration, or nil before the first one is known.
-	View *fleet.View
-}
-
-// Phase is a step in the life of a process.
-type Phase uint8
-
-const (
-	// Starting means that the process takes no requests yet.
-	Starting Phase = iota
-	// Serving means that the process takes requests.
-	Serving
-	// Draining means that the process only finishes what it runs.
-	Draining
-)
-
-// String returns the name of p.
-func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining"}[p]
-}
-
-// Upstreams is the set of upstreams that a process knows.
-type Upstreams struct {
-	// All lists the upstreams.
-	All []*Upstream
-
-	byName  map[string]*Upstream
-	byModel map[string][]*Upstream
-}
-
-// NewUpstreams returns the set of the given upstreams.
-func NewUpstreams(all []*Upstream) *Upstreams {
-	u := &Upstreams{
-		All:     all,
-		byName:  make(map[string]*Upstream, len(all)),
-		byModel: make(map[string][]*Upstream),
-	}
-	for _, up := range all {
-		u.byName[up.Spec.Name] = up
-		if up.Spec.Kind != fleet.Engine {
-			continue
-		}
-		for _, m := range up.Spec.Models {
-			u.byModel[m] = append(u.byModel[m], up)
-		}
-	}
-	return u
-}
-
-// ByName returns the named upstream, or nil.
-func (u *Upstreams) ByName(name string) *Upstream { return u.byName[name] }
-
-// ByModel returns the engines that serve the model. The slice is shared.
-func (u *Upstreams) ByModel(model string) []*Upstream { return u.byModel[model] }
-
-// Upstream is what a process knows of one upstream.
-type Upstream struct {
-	// Spec is the upstream's entry in the inventory.
-	Spec *fleet.Upstream
-	// DataCentre is where the upstream runs.
-	DataCentre string
-	// Agent is the address of the agent that fronts the upstream.
-	Agent string
-	// State is the state that the agent reported last.
-	State fleet.UpstreamState
-	// Out tells that the upstream's data centre is taken out.
-	Out bool
-	// Connected tells whether the agent is reached.
-	Connected bool
-	// Load holds counters that outlive this snapshot.
-	Load *Load
-}
-
-// Usable tells whether the upstream may get new work.
-func (u *Upstream) Usable() bool {
-	return u.Connected && !u.Out && (u.State == fleet.Ready || u.State == fleet.Cold)
-}
-
-// Load counts the work of one upstream. Its fields are written on the path of
-// a request.
-type Load struct {
-	// InFlight is the number of requests that this process has at the
-	// upstream.
-	InFlight atomic.Int64
-	// Report is the last load that the agent reported, or nil.
-	Report atomic.Pointer[LoadReport]
-}
-
-// LoadReport is a load as its agent reported it.
-type LoadReport struct {
-	// At is when the report arrived.
-	At time.Time
-	// InFlight is the number of requests at the upstream from all gateways.
-	InFlight int
-	// Queued is the number of online requests that wait at the agent.
-	Queued int
-	// Limit is the number of requests that the agent lets through at once.
-	Limit int
-	// OwnInFlight is the number of this process's requests when the report
-	// arrived.
-	OwnInFlight int64
-}
-
-// Limiter admits requests of one workspace.
-type Limiter interface {
-	// Take admits one request at the given time, or returns after what time
-	// one may be admitted.
-	Take(now time.Time) (ok bool, retryAfter time.Duration)
-}
-
-// Limits holds the limiter of each workspace.
-type Limits struct {
-	// ByWorkspace maps a workspace's name to its limiter.
-	ByWorkspace map[string]Limiter
-}
--- /dev/null
+++ b/blackboard/config.go
@@ -0,0 +1,20 @@
+package blackboard
+
+import (
+	"time"
+
+	"github.com/baobablanding/baobablanding/fleet"
+)
+
+// Config is the configuration in force.
+type Config struct {
+	// View is the configuration, or nil before the first one is known.
+	View *fleet.View
+}
+
+// Contact tells when this process was last in touch with the store.
+type Contact struct {
+	// StoreRead is when this process last read the head of the configuration,
+	// or zero.
+	StoreRead time.Time
+}
--- /dev/null
+++ b/blackboard/upstreams.go
@@ -0,0 +1,90 @@
+package blackboard
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/baobablanding/baobablanding/fleet"
+)
+
+// Upstreams is the set of upstreams that a process knows.
+type Upstreams struct {
+	// All lists the upstreams.
+	All []*Upstream
+
+	byName  map[string]*Upstream
+	byModel map[string][]*Upstream
+}
+
+// NewUpstreams returns the set of the given upstreams.
+func NewUpstreams(all []*Upstream) *Upstreams {
+	u := &Upstreams{
+		All:     all,
+		byName:  make(map[string]*Upstream, len(all)),
+		byModel: make(map[string][]*Upstream),
+	}
+	for _, up := range all {
+		u.byName[up.Spec.Name] = up
+		if up.Spec.Kind != fleet.Engine {
+			continue
+		}
+		for _, m := range up.Spec.Models {
+			u.byModel[m] = append(u.byModel[m], up)
+		}
+	}
+	return u
+}
+
+// ByName returns the named upstream, or nil.
+func (u *Upstreams) ByName(name string) *Upstream { return u.byName[name] }
+
+// ByModel returns the engines that serve the model. The slice is shared.
+func (u *Upstreams) ByModel(model string) []*Upstream { return u.byModel[model] }
+
+// Upstream is what a process knows of one upstream.
+type Upstream struct {
+	// Spec is the upstream's entry in the inventory.
+	Spec *fleet.Upstream
+	// DataCentre is where the upstream runs.
+	DataCentre string
+	// Agent is the address of the agent that fronts the upstream.
+	Agent string
+	// State is the state that the agent reported last.
+	State fleet.UpstreamState
+	// Out tells that the upstream's data centre is taken out.
+	Out bool
+	// Connected tells whether the agent is reached.
+	Connected bool
+	// Load holds counters that outlive this snapshot.
+	Load *Load
+}
+
+// Usable tells whether the upstream may get new work.
+func (u *Upstream) Usable() bool {
+	return u.Connected && !u.Out && (u.State == fleet.Ready || u.State == fleet.Cold)
+}
+
+// Load counts the work of one upstream. Its fields are written on the path of
+// a request.
+type Load struct {
+	// InFlight is the number of requests that this process has at the
+	// upstream.
+	InFlight atomic.Int64
+	// Report is the last load that the agent reported, or nil.
+	Report atomic.Pointer[LoadReport]
+}
+
+// LoadReport is a load as its agent reported it.
+type LoadReport struct {
+	// At is when the report arrived.
+	At time.Time
+	// InFlight is the number of requests at the upstream from all gateways.
+	InFlight int
+	// Queued is the number of online requests that wait at the agent.
+	Queued int
+	// Limit is the number of requests that the agent lets through at once.
+	Limit int
+	// OwnInFlight is the number of this process's requests when the report
+	// arrived.
+	OwnInFlight int64
+}
--- a/controller/configsync/configsync.go
+++ b/controller/configsync/configsync.go
@@ -17,7 +17,8 @@
 
 const pollInterval = time.Second
 
-// Controller follows the head of the configuration. It writes Board.Config.
+// Controller follows the head of the configuration. It writes Board.Config and
+// Board.Contact.
 type Controller struct {
 	board  *blackboard.Board
 	store  *configstore.Store
@@ -41,6 +42,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			c.board.Contact.Publish(blackboard.Contact{StoreRead: time.Now()})
+		}
 		if ok := err == nil; ok != reachable {
 			reachable = ok
 			c.log.Info().Bool("reachable", ok).Err(err).Msg("configuration store")
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
 	"github.com/baobablanding/baobablanding/batch"
@@ -12,6 +13,7 @@
 	"github.com/baobablanding/baobablanding/configstore"
 	"github.com/baobablanding/baobablanding/controller/configsync"
 	"github.com/baobablanding/baobablanding/controller/limits"
+	"github.com/baobablanding/baobablanding/controller/membership"
 	"github.com/baobablanding/baobablanding/controller/upstreams"
 	"github.com/baobablanding/baobablanding/gateway"
 	"github.com/baobablanding/baobablanding/httpserve"
@@ -24,7 +26,9 @@
 type Gateway struct {
 	board       *blackboard.Board
 	controllers *group
-	agents      *peer.Pool
+	agents      *peer.Pool // to agents
+	gateways    *peer.Pool // to other gateways
+	peers       *peer.Server
 	http        *httpserve.Server
 	metrics     *httpserve.Server
 }
@@ -48,9 +52,13 @@
 	ups := upstreams.New(g.board, logger)
 	g.agents = peer.NewPool(statusHandlers(ups), ups.Link)
 	ups.SetConnector(g.agents)
+	members := membership.New(g.board, settings.Name, uuid.NewString(), logger)
+	g.gateways = peer.NewPool(nil, members.Link)
+	members.SetMessenger(g.gateways)
 	g.controllers.run(configsync.New(g.board, configs, logger).Run)
 	g.controllers.run(limits.New(g.board).Run)
 	g.controllers.run(ups.Run)
+	g.controllers.run(members.Run)
 
 	server := serve.New(g.board, g.agents, settings.DataCentre, serve.NewMetrics(reg))
 	front := gateway.New(settings, g.board, server, configs, batch.NewStore(table, objects))
@@ -58,6 +66,9 @@
 	if g.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
 		return err
 	}
+	if g.peers, err = peer.Listen(settings.Peer, members.Handlers(), nil); err != nil {
+		return err
+	}
 	if g.http, err = front.Listen(); err != nil {
 		return err
 	}
@@ -96,8 +107,13 @@
 }
 
 func (g *Gateway) release() {
-	if g.agents != nil {
-		g.agents.Close()
+	for _, pool := range []*peer.Pool{g.agents, g.gateways} {
+		if pool != nil {
+			pool.Close()
+		}
+	}
+	if g.peers != nil {
+		g.peers.Close()
 	}
 	g.controllers.stop()
 	if g.metrics != nil {
--- /dev/null
+++ b/fleettest/call.go
@@ -0,0 +1,40 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Chat sends a chat request of the workspace to the gateway with the given
+// index. It returns the status and body, or status 0 and the error's text when
+// there is no whole answer.
+func (f *Fleet) Chat(ctx context.Context, i int, workspace, prompt string, stream bool) (int, string) {
+	body := fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":4,"messages":[{"role":"user","content":%q}]}`, Model, stream, prompt)
+	return f.Call(ctx, i, workspace, http.MethodPost, "/v1/chat/completions", body)
+}
+
+// Call sends a JSON request of the workspace to the gateway with the given
+// index, and returns what Chat does.
+func (f *Fleet) Call(ctx context.Context, i int, workspace, method, path, body string) (int, string) {
+	req, err := http.NewRequestWithContext(ctx, method, f.URL(i)+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key := f.Keys[workspace]; key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -115,3 +115,21 @@
 	// ID is the RunRequest's ID.
 	ID string `json:"id"`
 }
+
+// MethodGossip notifies another gateway of what the sender knows.
+const MethodGossip = "gossip"
+
+// Gossip is what a gateway tells other gateways.
+type Gossip struct {
+	// From is the sender's name.
+	From string `json:"from"`
+	// Incarnation identifies the sender's process.
+	Incarnation string `json:"incarnation"`
+	// ConfigVersion is the version that the sender has in force.
+	ConfigVersion uint64 `json:"config_version"`
+	// StoreAge is the time since the sender last read the head of the
+	// configuration, or negative if it never did.
+	StoreAge time.Duration `json:"store_age"`
+	// Draining tells that the sender stops.
+	Draining bool `json:"draining,omitempty"`
+}
