Send open-loop load and count what callers see

Ruled out: a closed loop of workers, which hides waits; counting each refused request of a workspace above its rate as rightful or not by its identity, since a fleet may rightly admit other requests than the model does; counts decide. Tests: go test ./load.

--- /dev/null
+++ b/load/fleet.go
@@ -0,0 +1,79 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/baobablanding/baobablanding/ctl"
+	"github.com/baobablanding/baobablanding/devfleet"
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/gateway"
+)
+
+const fleetStopTimeout = 20 * time.Second
+
+// RunOnNewFleet starts a fleet of separate processes from the programs in bin,
+// runs the scenario against it and stops it.
+func RunOnNewFleet(ctx context.Context, s *Scenario, bin string) (*Result, error) {
+	f, err := devfleet.Start(ctx, fleetOptions(s, bin))
+	if err != nil {
+		return nil, fmt.Errorf("start fleet: %w", err)
+	}
+	result, err := Run(ctx, s, fleetTarget(f))
+	if err != nil || s.KillGateway != nil {
+		f.Kill()
+		return result, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fleetStopTimeout)
+	defer cancel()
+	if err := f.Stop(ctx); err != nil {
+		result.Notes = append(result.Notes, fmt.Sprintf("the end: %v", err))
+	}
+	return result, nil
+}
+
+func fleetOptions(s *Scenario, bin string) devfleet.Options {
+	o := devfleet.Options{
+		Bin: bin, DataCentres: s.Fleet.DataCentres, Gateways: s.Fleet.Gateways, Engines: s.Fleet.Engines,
+		Slots: s.Fleet.Slots, ColdSlots: s.Fleet.ColdSlots, EngineArgs: s.Fleet.EngineArgs, Rules: s.Fleet.Rules,
+	}
+	for _, w := range s.Workspaces {
+		o.Workspaces = append(o.Workspaces, fleet.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst})
+	}
+	return o
+}
+
+func fleetTarget(f *devfleet.Fleet) *Target {
+	t := &Target{Keys: f.Keys, Model: devfleet.ModelName, TakeOut: takeOut(f.Client)}
+	t.usage = &usageProbe{usages: f.Usages, programs: f.Programs()}
+	for i := range f.Inventory.Gateways {
+		t.Gateways = append(t.Gateways, f.URL(i))
+	}
+	for _, u := range f.Inventory.Upstreams {
+		if u.Kind == fleet.Engine {
+			t.Engines = append(t.Engines, u.URL)
+		}
+	}
+	t.Kill = func(name string) error {
+		p := f.Process(name)
+		if p == nil {
+			return fmt.Errorf("process %q does not exist", name)
+		}
+		p.Kill()
+		return nil
+	}
+	return t
+}
+
+// takeOut returns a function that takes a data centre out or returns it
+// through the first gateway.
+func takeOut(client func(int) *ctl.Client) func(context.Context, string, bool) error {
+	return func(ctx context.Context, name string, out bool) error {
+		edit := gateway.Edit{Operation: uuid.NewString(), Author: "baobab-load"}
+		var applied gateway.ApplyResponse
+		return client(0).Post(ctx, "/admin/data-centres", gateway.DataCentreRequest{Edit: edit, Name: name, Out: out}, &applied)
+	}
+}
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,132 @@
+package load
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestScheduleDependsOnTheSeedAlone(t *testing.T) {
+	s, err := Profile("garrafon")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := Schedule(&s)
+	if !slices.Equal(first, Schedule(&s)) {
+		t.Fatal("the same seed gave two schedules")
+	}
+	other := s
+	other.Seed++
+	if slices.Equal(first, Schedule(&other)) {
+		t.Fatal("two seeds gave the same schedule")
+	}
+	faster := s
+	faster.Workspaces = slices.Clone(s.Workspaces)
+	faster.Workspaces[0].Offered *= 5
+	if !slices.Equal(withoutFirst(first), withoutFirst(Schedule(&faster))) {
+		t.Fatal("one workspace's rate changed the schedule of the others")
+	}
+}
+
+func withoutFirst(list []Arrival) []Arrival {
+	return slices.DeleteFunc(slices.Clone(list), func(a Arrival) bool { return a.Workspace == 0 })
+}
+
+func TestScheduleFollowsBursts(t *testing.T) {
+	s := Scenario{
+		Name: "test", Seed: 7, Duration: 30 * time.Second,
+		Workspaces: []Workspace{{Name: "a", Rate: 1, Burst: 1, Offered: 100}},
+		Bursts:     []Burst{{At: 10 * time.Second, Length: 10 * time.Second, Factor: 3}},
+	}
+	var counts [3]int
+	for _, a := range Schedule(&s) {
+		counts[a.At/(10*time.Second)]++
+	}
+	for i, want := range []int{1000, 3000, 1000} {
+		if counts[i] < want*9/10 || counts[i] > want*11/10 {
+			t.Errorf("part %d has %d arrivals, want about %d", i, counts[i], want)
+		}
+	}
+}
+
+// TestWithinRateHoldsInEveryWindow checks that no window holds more than the
+// burst and what the rate earns, and that nothing is refused that would fit.
+func TestWithinRateHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := Workspace{
+			Name: "a", Rate: rapid.Float64Range(1, 50).Draw(t, "rate"), Burst: rapid.IntRange(1, 20).Draw(t, "burst"),
+			Offered: rapid.Float64Range(1, 150).Draw(t, "offered"),
+		}
+		s := Scenario{Name: "t", Seed: rapid.Uint64().Draw(t, "seed"), Duration: 3 * time.Second, Workspaces: []Workspace{w}}
+		schedule := Schedule(&s)
+		within := WithinRate(&s, schedule)
+		for from := range schedule {
+			admitted := 0
+			for to := from; to < len(schedule); to++ {
+				if !within[to] {
+					continue
+				}
+				admitted++
+				window := (schedule[to].At - schedule[from].At).Seconds()
+				if float64(admitted) > float64(w.Burst)+w.Rate*window+1e-6 {
+					t.Fatalf("%d requests within %.3f s", admitted, window)
+				}
+			}
+		}
+		if w.Offered*2 < w.Rate && len(schedule) < w.Burst && slices.Contains(within, false) {
+			t.Fatal("a request within the burst counts as above the rate")
+		}
+	})
+}
+
+func TestWrongfulRefusalsOfAWorkspaceAboveItsRate(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		sent, refused, within int64
+		wrongful, above       int64
+	}{
+		{"nothing refused", 100, 0, 100, 0, 0},
+		{"all refused", 100, 100, 100, 100, 0},
+		{"exactly the rate", 500, 400, 100, 0, 0},
+		{"less than the rate", 500, 410, 100, 10, 0},
+		{"more than the rate", 500, 390, 100, 0, 10},
+	} {
+		s := NewStats()
+		s.Sent, s.Within, s.Refused[2101] = c.sent, c.within, c.refused
+		if s.WrongfullyRefused() != c.wrongful || s.AboveRate() != c.above {
+			t.Errorf("%s: wrongful %d, above %d; want %d, %d", c.name, s.WrongfullyRefused(), s.AboveRate(), c.wrongful, c.above)
+		}
+	}
+}
+
+// TestLatencyCountsFromTheIntendedTime checks that a late send does not hide
+// the wait of the caller.
+func TestLatencyCountsFromTheIntendedTime(t *testing.T) {
+	intended := time.Now()
+	sent := intended.Add(time.Second)
+	s := NewStats()
+	s.add(&outcome{kind: answered, firstToken: sent.Add(10 * time.Millisecond), end: sent.Add(20 * time.Millisecond)}, intended, true)
+	if got := s.FirstToken.Max(); got < 1_010_000 || got > 1_012_000 {
+		t.Errorf("first token after %d µs, want 1010000", got)
+	}
+	if got := s.Total.Max(); got < 1_020_000 || got > 1_022_000 {
+		t.Errorf("total %d µs, want 1020000", got)
+	}
+}
+
+func TestWorstServedWorkspaceIsAmongThoseWithinTheirRate(t *testing.T) {
+	list := []Summary{
+		{Name: "above", Sent: 100, Within: 20, AnsweredOfWithin: 0.1},
+		{Name: "slow", Sent: 10, Within: 10, AnsweredOfWithin: 1, FirstToken: Quantiles{P99: 90}},
+		{Name: "refused", Sent: 10, Within: 10, AnsweredOfWithin: 0.9, FirstToken: Quantiles{P99: 20}},
+		{Name: "idle"},
+	}
+	if got := worst(list); got != "refused" {
+		t.Errorf("worst is %q, want refused", got)
+	}
+	if got := worst(list[:2]); got != "slow" {
+		t.Errorf("worst is %q, want slow", got)
+	}
+}
--- /dev/null
+++ b/load/page.go
@@ -0,0 +1,98 @@
+package load
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-echarts/go-echarts/v2/charts"
+	"github.com/go-echarts/go-echarts/v2/components"
+	"github.com/go-echarts/go-echarts/v2/opts"
+)
+
+// WritePage writes the results as an HTML page with plots.
+func WritePage(w io.Writer, results []*Result) error {
+	page := components.NewPage()
+	page.PageTitle = "baobab-load"
+	for _, r := range results {
+		page.AddCharts(latencyChart(r), countChart(r))
+	}
+	if len(results) > 1 {
+		page.AddCharts(comparisonChart(results))
+	}
+	if err := page.Render(w); err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	return nil
+}
+
+func newBar(title, subtitle, unit string, names []string) *charts.Bar {
+	bar := charts.NewBar()
+	bar.SetGlobalOptions(
+		charts.WithTitleOpts(opts.Title{Title: title, Subtitle: subtitle}),
+		charts.WithYAxisOpts(opts.YAxis{Name: unit}),
+		charts.WithLegendOpts(opts.Legend{Top: "bottom"}),
+	)
+	bar.SetXAxis(names)
+	return bar
+}
+
+// addSeries adds a value of each summary.
+func addSeries(bar *charts.Bar, name string, list []Summary, value func(*Summary) float64) {
+	data := make([]opts.BarData, 0, len(list))
+	for i := range list {
+		data = append(data, opts.BarData{Value: value(&list[i])})
+	}
+	bar.AddSeries(name, data)
+}
+
+func withOverall(r *Result) []Summary { return append([]Summary{r.Overall}, r.Workspaces...) }
+
+func namesOf(list []Summary) []string {
+	names := make([]string, 0, len(list))
+	for i := range list {
+		names = append(names, list[i].Name)
+	}
+	return names
+}
+
+func subtitle(r *Result) string {
+	text := fmt.Sprintf("seed %d, load average %s", r.Scenario.Seed, r.LoadAverage)
+	if r.Batch != nil {
+		text += fmt.Sprintf(", batch %.1f items/s", r.Batch.PerSecond)
+	}
+	return text
+}
+
+func latencyChart(r *Result) *charts.Bar {
+	list := withOverall(r)
+	bar := newBar(r.Scenario.Name+": time to first token", subtitle(r), "ms", namesOf(list))
+	addSeries(bar, "p50", list, func(s *Summary) float64 { return s.FirstToken.P50 })
+	addSeries(bar, "p95", list, func(s *Summary) float64 { return s.FirstToken.P95 })
+	addSeries(bar, "p99", list, func(s *Summary) float64 { return s.FirstToken.P99 })
+	addSeries(bar, "p99.9", list, func(s *Summary) float64 { return s.FirstToken.P999 })
+	return bar
+}
+
+func countChart(r *Result) *charts.Bar {
+	list := r.Workspaces
+	bar := newBar(r.Scenario.Name+": requests", subtitle(r), "requests", namesOf(list))
+	addSeries(bar, "sent", list, func(s *Summary) float64 { return float64(s.Sent) })
+	addSeries(bar, "within rate", list, func(s *Summary) float64 { return float64(s.Within) })
+	addSeries(bar, "answered", list, func(s *Summary) float64 { return float64(s.Answered) })
+	addSeries(bar, "refused though within", list, func(s *Summary) float64 { return float64(s.WrongfullyRefused) })
+	addSeries(bar, "failed", list, func(s *Summary) float64 { return float64(s.Errors + s.Incomplete) })
+	return bar
+}
+
+func comparisonChart(results []*Result) *charts.Bar {
+	list := make([]Summary, 0, len(results))
+	names := make([]string, 0, len(results))
+	for _, r := range results {
+		list = append(list, r.Overall)
+		names = append(names, r.Scenario.Name)
+	}
+	bar := newBar("All runs: first token", "", "ms", names)
+	addSeries(bar, "p50", list, func(s *Summary) float64 { return s.FirstToken.P50 })
+	addSeries(bar, "p99", list, func(s *Summary) float64 { return s.FirstToken.P99 })
+	return bar
+}
--- /dev/null
+++ b/load/table.go
@@ -0,0 +1,109 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/baobablanding/baobablanding/result"
+)
+
+// WriteTable writes the result for people.
+func WriteTable(w io.Writer, r *Result) error {
+	fmt.Fprintf(w, "\n%s: seed %d, %s after a warm-up of %s, %s, load average %s\n",
+		r.Scenario.Name, r.Scenario.Seed, r.Scenario.Duration, r.Scenario.Warmup,
+		r.At.Format("2006-01-02 15:04 MST"), r.LoadAverage)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "workspace\tsent\tanswered\twithin rate\trefused though within\tabove rate\terrors\tincomplete\tfirst token p50\tp99\tp99.9\tbetween p99\ttotal p99\t")
+	for _, s := range append(slices.Clone(r.Workspaces), r.Overall) {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\n",
+			s.Name, s.Sent, s.Answered, s.Within, s.WrongfullyRefused, s.AboveRate, s.Errors, s.Incomplete,
+			s.FirstToken.P50, s.FirstToken.P99, s.FirstToken.P999, s.BetweenTokens.P99, s.Total.P99)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	writeFooter(w, r)
+	return nil
+}
+
+func writeFooter(w io.Writer, r *Result) {
+	fmt.Fprintf(w, "latencies in ms from the intended send time; requests were sent at most %.2f ms late (p99 %.2f)\n", r.SendLag.Max, r.SendLag.P99)
+	if len(r.Overall.Refused) > 0 {
+		fmt.Fprintf(w, "refusals: %s\n", refusals(r.Overall.Refused))
+	}
+	if s := r.Workspace(r.Worst); s != nil {
+		fmt.Fprintf(w, "worst-served workspace: %s, %.3f%% answered, first token p99 %.2f ms\n", s.Name, 100*s.AnsweredOfWithin, s.FirstToken.P99)
+	}
+	if r.Batch != nil {
+		fmt.Fprintf(w, "batch: %d items done, %.1f/s, %d failed\n", r.Batch.Items, r.Batch.PerSecond, r.Batch.Failed)
+	}
+	for _, u := range r.Usage {
+		fmt.Fprintf(w, "%d x %s: %.3f cores and at most %.1f MB each\n", u.Processes, u.Program, u.Cores, u.ResidentMB)
+	}
+	for _, note := range r.Notes {
+		fmt.Fprintf(w, "at %s\n", note)
+	}
+}
+
+// refusals names the refusals by code.
+func refusals(byCode map[int]int64) string {
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(byCode)) {
+		parts = append(parts, fmt.Sprintf("%d %s (%d)", byCode[code], result.Code(code), code))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// WriteComparison writes the ratios of each result to the first.
+func WriteComparison(w io.Writer, results []*Result) error {
+	if len(results) < 2 {
+		return nil
+	}
+	base := results[0]
+	fmt.Fprintf(w, "\nRatios to %s, seed %d\n", base.Scenario.Name, base.Scenario.Seed)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "run\tfirst token p50\tp95\tp99\tbetween p99\ttotal p99\tadded p99 ms\trefused though within\terrors and incomplete\tworst-served answered\tits first token p99\tbatch items/s\t")
+	for _, r := range results {
+		a, b := &r.Overall, &base.Overall
+		fmt.Fprintf(t, "%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%.3f%%\t%.2f\t%s\t\n",
+			r.Scenario.Name, ratio(a.FirstToken.P50, b.FirstToken.P50), ratio(a.FirstToken.P95, b.FirstToken.P95),
+			ratio(a.FirstToken.P99, b.FirstToken.P99), ratio(a.BetweenTokens.P99, b.BetweenTokens.P99),
+			ratio(a.Total.P99, b.Total.P99), a.Total.P99-b.Total.P99,
+			a.WrongfullyRefused, a.Errors+a.Incomplete, 100*worstShare(r), worstRatio(r, base), batchRate(r))
+	}
+	return t.Flush()
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func worstShare(r *Result) float64 {
+	if s := r.Workspace(r.Worst); s != nil {
+		return s.AnsweredOfWithin
+	}
+	return 1
+}
+
+// worstRatio compares the worst-served workspace with itself in the base run.
+func worstRatio(r, base *Result) float64 {
+	a, b := r.Workspace(r.Worst), base.Workspace(r.Worst)
+	if a == nil || b == nil {
+		return 0
+	}
+	return ratio(a.FirstToken.P99, b.FirstToken.P99)
+}
+
+func batchRate(r *Result) string {
+	if r.Batch == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", r.Batch.PerSecond)
+}
