Bring configuration to daemons that cannot read the store

Need: an accepted change must be in force everywhere within seconds, also on gateways that reach only peers, and a gateway restarted during an outage must find it. A gateway that reaches nobody must not go on with keys that may have been withdrawn.

Mechanism: gossip names versions; a daemon that notices a newer one reads the store at once and, failing that, asks other processes, which send only the objects the asker lacks. Settings gain seeds, for a start during an outage.

Ruled out: serving on without evidence (a gateway cut off from all would accept withdrawn keys for ever); stopping whenever the store is out (a long outage would stop the service); accepting changes only with a majority (a withdrawal would wait for a dead gateway).

Not closed: a minority of gateways with the store accepts a change while a majority has lost both it and the store; the majority goes on serving.

Found on the way: two tests in parallel took each other's ports; fleets now use a loopback address of their own process (fleettest 20 runs green).

Without the mechanism (scratch edits), then with it, go test ./fleettest: no fetch from peers: TestChangeReachesGatewaysWithoutTheStore, 'timed out waiting until gateway-2 has version 2'; TestGatewayStartsDuringAnOutage- FromItsPeers, 'timed out waiting until gateway-1 has version 2' no freshness check: TestIsolatedGatewayStopsServing, 'timed out waiting until the isolated gateway refuses' no agreement of a majority: TestOutageOfTheStoreDoesNotStopService, 503 config_stale after 1.06 s with all: ok, -race -count=4, 29 s.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -5,8 +5,14 @@
 type Board struct {
 	// Config is the accepted configuration that is in force here.
 	Config Section[*Config]
+	// Noticed is the highest version of the configuration that another process
+	// was noticed to have.
+	Noticed Section[uint64]
 	// Contact is when the store was last read.
 	Contact Section[Contact]
+	// Freshness is how long the configuration may be used without new evidence
+	// that it is current.
+	Freshness Section[Freshness]
 	// Phase is the life cycle of the process.
 	Phase Section[Phase]
 	// Upstreams is the set of upstreams and what is known of each.
@@ -17,6 +23,13 @@
 	Limits Section[*Limits]
 }
 
+// Notice takes in that another process has a version of the configuration.
+func (b *Board) Notice(version uint64) {
+	if version > b.Noticed.Value() {
+		b.Noticed.Update(func(old uint64) uint64 { return max(old, version) })
+	}
+}
+
 // New returns a board with empty sections.
 func New() *Board {
 	b := new(Board)
--- a/blackboard/config.go
+++ b/blackboard/config.go
@@ -10,6 +10,8 @@
 type Config struct {
 	// View is the configuration, or nil before the first one is known.
 	View *fleet.View
+	// Head names the parts of the configuration.
+	Head fleet.Head
 }
 
 // Contact tells when this process was last in touch with the store.
@@ -18,3 +20,10 @@
 	// or zero.
 	StoreRead time.Time
 }
+
+// Freshness tells how long the configuration in force may be used.
+type Freshness struct {
+	// Until is when requests are refused, because no newer evidence says that
+	// the configuration is current.
+	Until time.Time
+}
--- a/blackboard/members.go
+++ b/blackboard/members.go
@@ -20,13 +20,16 @@
 	Address string
 	// Connected tells whether the gateway is reached.
 	Connected bool
+	// Refused tells that the gateway's host refuses connections: no process of
+	// the gateway runs.
+	Refused bool
 	// Incarnation identifies the gateway's process, or is empty before it was
 	// heard of.
 	Incarnation string
 	// ConfigVersion is the version that the gateway has in force.
 	ConfigVersion uint64
-	// StoreRead is when the gateway last read the head of the configuration, by
-	// the clock of this process, or zero.
+	// StoreRead is when the gateway, or one it heard of, last read the head of
+	// the configuration, by the clock of this process, or zero.
 	StoreRead time.Time
 	// Heard is when the gateway was last heard of, or zero.
 	Heard time.Time
--- a/config/settings.go
+++ b/config/settings.go
@@ -23,6 +23,10 @@
 	Peer string `yaml:"peer"`
 	// Metrics is the IP address and port of /metrics and the health checks.
 	Metrics string `yaml:"metrics"`
+	// Seeds lists peer addresses of gateways that are asked for the
+	// configuration when the process starts during an outage of the store.
+	// Gateways only.
+	Seeds []string `yaml:"seeds"`
 	// Platform is where the platform's services are reached.
 	Platform PlatformSettings `yaml:"platform"`
 	// AdminKeyDigest is the SHA-256 digest, in hex, of the operators' key.
@@ -119,6 +123,9 @@
 	c.url(s.Platform.Table, "platform", "table")
 	c.url(s.Platform.Objects, "platform", "objects")
 	c.url(s.Platform.VMs, "platform", "vms")
+	for i, seed := range s.Seeds {
+		c.address(seed, "seeds", i)
+	}
 	if role == GatewayRole {
 		c.address(s.Listen, "listen")
 		if len(s.AdminKeyDigest) != 64 {
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -28,24 +28,7 @@
 )
 
 // Head names the objects of one accepted version.
-type Head struct {
-	// Version increases by one with each accepted change.
-	Version uint64 `json:"version"`
-	// Operation identifies the change that made this version.
-	Operation string `json:"operation"`
-	// Author says who made the change.
-	Author string `json:"author"`
-	// Summary says what was changed.
-	Summary string `json:"summary"`
-	// Accepted is when the change was accepted.
-	Accepted time.Time `json:"accepted"`
-	// Inventory is the digest of the inventory object.
-	Inventory string `json:"inventory"`
-	// Keys holds the digest of each shard of keys, or "" for an empty shard.
-	Keys []string `json:"keys"`
-	// Out lists the data centres that are taken out.
-	Out []string `json:"out,omitempty"`
-}
+type Head = fleet.Head
 
 // Change describes a change to make.
 type Change struct {
@@ -95,32 +78,42 @@
 // Load returns the state that head names. Objects that prev, made of prevHead,
 // already holds are not read again; prev may be nil.
 func (s *Store) Load(ctx context.Context, head Head, prev *fleet.State, prevHead Head) (fleet.State, error) {
+	return assemble(head, prev, prevHead, func(name string, value any) error {
+		return s.readObject(ctx, name, value)
+	})
+}
+
+// assemble returns the state that head names. It reads the objects that prev
+// does not hold with the given function.
+func assemble(head Head, prev *fleet.State, prevHead Head, read func(name string, value any) error) (fleet.State, error) {
 	state := fleet.State{Version: head.Version, Out: head.Out}
 	if prev != nil && prevHead.Inventory == head.Inventory {
 		state.Inventory = prev.Inventory
-	} else if err := s.readObject(ctx, inventoryName(head.Inventory), &state.Inventory); err != nil {
+	} else if err := read(inventoryName(head.Inventory), &state.Inventory); err != nil {
 		return state, err
 	}
 	for shard, digest := range head.Keys {
-		keys, err := s.loadShard(ctx, shard, digest, prev, prevHead)
-		if err != nil {
-			return state, err
+		var keys []fleet.Key
+		switch {
+		case digest == "":
+		case prev != nil && digestOf(prevHead, shard) == digest:
+			keys = shardOf(prev.Keys, shard)
+		default:
+			if err := read(keysName(digest), &keys); err != nil {
+				return state, err
+			}
 		}
 		state.Keys = append(state.Keys, keys...)
 	}
 	return state, nil
 }
 
-func (s *Store) loadShard(ctx context.Context, shard int, digest string, prev *fleet.State, prevHead Head) ([]fleet.Key, error) {
-	if digest == "" {
-		return nil, nil
-	}
-	if prev != nil && shard < len(prevHead.Keys) && prevHead.Keys[shard] == digest {
-		return shardOf(prev.Keys, shard), nil
+// digestOf returns the digest of a shard of keys, or "".
+func digestOf(head Head, shard int) string {
+	if shard >= len(head.Keys) {
+		return ""
 	}
-	var keys []fleet.Key
-	err := s.readObject(ctx, keysName(digest), &keys)
-	return keys, err
+	return head.Keys[shard]
 }
 
 func shardOf(keys []fleet.Key, shard int) []fleet.Key {
@@ -221,11 +214,7 @@
 		if len(keys) == 0 {
 			continue
 		}
-		known := ""
-		if shard < len(head.Keys) {
-			known = head.Keys[shard]
-		}
-		next.Keys[shard], err = s.writeObject(ctx, keysName, keys, known)
+		next.Keys[shard], err = s.writeObject(ctx, keysName, keys, digestOf(head, shard))
 		if err != nil {
 			return Head{}, storeError(err)
 		}
--- a/controller/configsync/configsync.go
+++ b/controller/configsync/configsync.go
@@ -1,5 +1,5 @@
-// Package configsync brings the accepted configuration from the platform's
-// store to the board.
+// Package configsync brings the accepted configuration to the board: from the
+// platform's store, or from other processes while the store is out.
 package configsync
 
 import (
@@ -15,70 +15,119 @@
 	"github.com/baobablanding/baobablanding/platform"
 )
 
-const pollInterval = time.Second
+const (
+	pollInterval = time.Second
+	storeTimeout = 700 * time.Millisecond
+	peerTimeout  = 700 * time.Millisecond
+)
+
+// Peers asks other processes for their configuration.
+type Peers interface {
+	// Fetch returns the newest configuration that is reached and newer than
+	// have, or false.
+	Fetch(ctx context.Context, have fleet.Head) (configstore.Bundle, bool)
+}
 
-// Controller follows the head of the configuration. It writes Board.Config and
-// Board.Contact.
+// Controller follows the head of the configuration, and reads it at once when
+// another process is noticed to have a newer version. It writes Board.Config
+// and Board.Contact. A version is never replaced by a lower one.
 type Controller struct {
 	board  *blackboard.Board
 	store  *configstore.Store
+	peers  Peers
 	log    *log.Logger
-	record uint64
-	head   configstore.Head
+	record uint64 // version of the head's record in the table
 }
 
 // New returns a Controller.
-func New(board *blackboard.Board, store *configstore.Store, logger *log.Logger) *Controller {
-	return &Controller{board: board, store: store, log: logger}
+func New(board *blackboard.Board, store *configstore.Store, peers Peers, logger *log.Logger) *Controller {
+	return &Controller{board: board, store: store, peers: peers, log: logger}
 }
 
+// version returns the version in force, or 0.
+func (c *Controller) version() uint64 { return c.board.Config.Value().Head.Version }
+
 // Run follows the configuration until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	reachable := true
 	for {
+		noticed := c.board.Noticed.Load()
 		err := c.poll(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil {
-			c.board.Contact.Publish(blackboard.Contact{StoreRead: time.Now()})
-		}
 		if ok := err == nil; ok != reachable {
 			reachable = ok
 			c.log.Info().Bool("reachable", ok).Err(err).Msg("configuration store")
 		}
+		if err != nil || c.version() < noticed.Value {
+			c.askPeers(ctx)
+		}
 		select {
 		case <-ticker.C:
+		case <-noticed.Changed():
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// poll reads the head and publishes a newer version.
+// poll reads the head from the store and puts a newer version in force.
 func (c *Controller) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	asked := time.Now()
 	head, record, err := c.store.Head(ctx, c.record)
 	if errors.Is(err, platform.ErrNotModified) || errors.Is(err, platform.ErrNotFound) {
+		c.board.Contact.Publish(blackboard.Contact{StoreRead: asked})
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	var prev *fleet.State
-	if view := c.board.Config.Value().View; view != nil {
-		prev = &view.State
+	if head.Version > c.version() {
+		prev, prevHead := c.current()
+		state, err := c.store.Load(ctx, head, prev, prevHead)
+		if err != nil {
+			return err
+		}
+		c.enforce(head, state)
 	}
-	if prev != nil && head.Version <= prev.Version {
-		return nil
+	c.record = record
+	c.board.Contact.Publish(blackboard.Contact{StoreRead: asked})
+	return nil
+}
+
+// current returns the state in force and its head; the state is nil before the
+// first one.
+func (c *Controller) current() (*fleet.State, fleet.Head) {
+	config := c.board.Config.Value()
+	if config.View == nil {
+		return nil, fleet.Head{}
+	}
+	return &config.View.State, config.Head
+}
+
+// askPeers puts the newest version of other processes in force.
+func (c *Controller) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	prev, prevHead := c.current()
+	bundle, ok := c.peers.Fetch(ctx, prevHead)
+	if !ok || bundle.Head.Version <= prevHead.Version {
+		return
 	}
-	state, err := c.store.Load(ctx, head, prev, c.head)
+	state, err := bundle.State(prev, prevHead)
 	if err != nil {
-		return err
+		c.log.Warn().Err(err).Msg("configuration from another process")
+		return
 	}
-	c.record, c.head = record, head
-	c.board.Config.Publish(&blackboard.Config{View: fleet.NewView(state)})
+	c.enforce(bundle.Head, state)
+}
+
+func (c *Controller) enforce(head fleet.Head, state fleet.State) {
+	c.board.Config.Publish(&blackboard.Config{View: fleet.NewView(state), Head: head})
 	c.log.Info().Uint64("version", head.Version).Str("author", head.Author).Msg("configuration in force")
-	return nil
 }
--- /dev/null
+++ b/controller/freshness/freshness.go
@@ -0,0 +1,62 @@
+// Package freshness keeps on the board how long a gateway may use its
+// configuration.
+package freshness
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/policy/contact"
+)
+
+const interval = 250 * time.Millisecond
+
+// Controller weighs the last contacts with the store and the other gateways. It
+// writes Board.Freshness.
+type Controller struct {
+	board *blackboard.Board
+	log   *log.Logger
+	fresh bool
+}
+
+// New returns a Controller.
+func New(board *blackboard.Board, logger *log.Logger) *Controller {
+	return &Controller{board: board, log: logger, fresh: true}
+}
+
+// Run keeps the board up to date until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		c.weigh(time.Now())
+		select {
+		case <-ticker.C:
+		case <-c.board.Contact.Load().Changed():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) weigh(now time.Time) {
+	bound := fleet.DefaultIsolation
+	if view := c.board.Config.Value().View; view != nil {
+		bound = view.Inventory.Rules.Isolation
+	}
+	members := c.board.Members.Value().Others
+	others := make([]contact.Gateway, 0, len(members))
+	for _, m := range members {
+		others = append(others, contact.Gateway{Heard: m.Heard, StoreRead: m.StoreRead, Dead: m.Refused})
+	}
+	until := contact.Until(now, c.board.Contact.Value().StoreRead, others, bound)
+	c.board.Freshness.Publish(blackboard.Freshness{Until: until})
+	if fresh := now.Before(until); fresh != c.fresh {
+		c.fresh = fresh
+		c.log.Info().Bool("current", fresh).Msg("configuration freshness")
+	}
+}
--- a/controller/membership/membership.go
+++ b/controller/membership/membership.go
@@ -18,7 +18,8 @@
 
 const (
 	gossipInterval = 500 * time.Millisecond
-	gossipFanout   = 3
+	minFanout      = 3
+	fanoutDivisor  = 8 // a gossip goes to at least one in so many gateways
 	eventBacklog   = 256
 )
 
@@ -30,7 +31,8 @@
 	Notify(ctx context.Context, address, method string, params any) error
 }
 
-// Controller exchanges gossip with the other gateways. It writes Board.Members.
+// Controller exchanges gossip with the other gateways. It writes Board.Members
+// and Board.Noticed.
 type Controller struct {
 	board       *blackboard.Board
 	messenger   Messenger
@@ -40,6 +42,7 @@
 	links       chan peer.LinkEvent
 	heard       chan peer.Gossip
 	members     map[string]blackboard.Member // by name
+	addresses   []string
 }
 
 // New returns a Controller for the named gateway. SetMessenger must be called
@@ -90,8 +93,9 @@
 		}
 		select {
 		case <-snap.Changed():
+			c.gossip(ctx, len(c.addresses))
 		case <-ticker.C:
-			c.gossip(ctx)
+			c.gossip(ctx, fanout(len(c.addresses)))
 		case e := <-c.links:
 			c.takeLink(e)
 		case g := <-c.heard:
@@ -118,20 +122,23 @@
 		others = append(others, m)
 		addresses = append(addresses, g.Peer)
 	}
+	if !slices.Equal(c.addresses, addresses) {
+		c.addresses = addresses
+		c.messenger.SetAddresses(addresses)
+	}
 	old := c.board.Members.Value()
 	if slices.Equal(old.Others, others) && old.Self == c.self {
 		return
 	}
-	c.messenger.SetAddresses(addresses)
 	c.board.Members.Publish(&blackboard.Members{Self: c.self, Incarnation: c.incarnation, Others: others})
 }
 
 func (c *Controller) takeLink(e peer.LinkEvent) {
 	for name, m := range c.members {
 		if m.Address == e.Address {
-			m.Connected = e.Up
+			m.Connected, m.Refused = e.Up, e.Refused
 			c.members[name] = m
-			c.log.Info().Str("gateway", name).Bool("connected", e.Up).Msg("gateway connection")
+			c.log.Info().Str("gateway", name).Bool("connected", e.Up).Bool("refused", e.Refused).Msg("gateway connection")
 		}
 	}
 }
@@ -150,17 +157,20 @@
 		m.StoreRead = now.Add(-g.StoreAge)
 	}
 	c.members[g.From] = m
+	c.board.Notice(g.ConfigVersion)
 }
 
-// gossip tells a few other gateways what is known here.
-func (c *Controller) gossip(ctx context.Context) {
-	others := c.board.Members.Value().Others
+// fanout returns the number of gateways that one gossip goes to.
+func fanout(others int) int { return max(minFanout, others/fanoutDivisor) }
+
+// gossip tells count other gateways what is known here.
+func (c *Controller) gossip(ctx context.Context, count int) {
 	message := c.message()
-	for i, j := range rand.Perm(len(others)) {
-		if i == gossipFanout {
+	for i, j := range rand.Perm(len(c.addresses)) {
+		if i == count {
 			return
 		}
-		_ = c.messenger.Notify(ctx, others[j].Address, peer.MethodGossip, message)
+		_ = c.messenger.Notify(ctx, c.addresses[j], peer.MethodGossip, message)
 	}
 }
 
@@ -174,7 +184,13 @@
 	if view := c.board.Config.Value().View; view != nil {
 		g.ConfigVersion = view.Version
 	}
-	if read := c.board.Contact.Value().StoreRead; !read.IsZero() {
+	read := c.board.Contact.Value().StoreRead
+	for _, m := range c.members {
+		if m.StoreRead.After(read) {
+			read = m.StoreRead
+		}
+	}
+	if !read.IsZero() {
 		g.StoreAge = time.Since(read)
 	}
 	return g
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
@@ -14,6 +15,7 @@
 	"github.com/baobablanding/baobablanding/controller/configsync"
 	"github.com/baobablanding/baobablanding/controller/dispatch"
 	"github.com/baobablanding/baobablanding/controller/engines"
+	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/platform"
@@ -55,17 +57,36 @@
 	if a.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
 		return err
 	}
-	if a.peers, err = peer.Listen(settings.Peer, a.agent.Handlers(), a.greet); err != nil {
+	if a.peers, err = peer.Listen(settings.Peer, a.handlers(), a.greet); err != nil {
 		return err
 	}
 	a.board.Phase.Publish(blackboard.Serving)
-	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), logger).Run)
+	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), a, logger).Run)
 	a.controllers.run(engines.New(a.board, agent.NewProber(), a.vm, logger).Run)
 	a.controllers.run(dispatch.New(a.board, batch.NewStore(table, objects), a.agent, a.vm, logger).Run)
 	a.controllers.run(a.announce)
 	return nil
 }
 
+// handlers returns the handlers of what gateways send.
+func (a *Agent) handlers() peer.Handlers {
+	handlers := a.agent.Handlers()
+	handlers[peer.MethodConfig] = peer.ServeConfig(a.board)
+	handlers[peer.MethodVersion] = func(_ context.Context, _ *peer.Session, params json.RawMessage) (any, error) {
+		v, err := peer.Decode[peer.Version](params)
+		if err == nil {
+			a.board.Notice(v.ConfigVersion)
+		}
+		return nil, err
+	}
+	return handlers
+}
+
+// Fetch implements configsync.Peers: it asks the gateways that are connected.
+func (a *Agent) Fetch(ctx context.Context, have fleet.Head) (configstore.Bundle, bool) {
+	return peer.FetchConfig(ctx, a.peers.Askers(), have)
+}
+
 // greet tells a new connection the state of the upstreams.
 func (a *Agent) greet(s *peer.Session) {
 	_ = s.Notify(context.Background(), peer.MethodStatus, a.status())
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -12,9 +12,11 @@
 	"github.com/baobablanding/baobablanding/config"
 	"github.com/baobablanding/baobablanding/configstore"
 	"github.com/baobablanding/baobablanding/controller/configsync"
+	"github.com/baobablanding/baobablanding/controller/freshness"
 	"github.com/baobablanding/baobablanding/controller/limits"
 	"github.com/baobablanding/baobablanding/controller/membership"
 	"github.com/baobablanding/baobablanding/controller/upstreams"
+	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/gateway"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/peer"
@@ -50,15 +52,18 @@
 	reg := newRegistry()
 
 	ups := upstreams.New(g.board, logger)
-	g.agents = peer.NewPool(statusHandlers(ups), ups.Link)
+	g.agents = peer.NewPool(g.agentHandlers(ups), ups.Link)
 	ups.SetConnector(g.agents)
 	members := membership.New(g.board, settings.Name, uuid.NewString(), logger)
 	g.gateways = peer.NewPool(nil, members.Link)
+	g.gateways.SetAddresses(settings.Seeds)
 	members.SetMessenger(g.gateways)
-	g.controllers.run(configsync.New(g.board, configs, logger).Run)
+	g.controllers.run(configsync.New(g.board, configs, g, logger).Run)
+	g.controllers.run(freshness.New(g.board, logger).Run)
 	g.controllers.run(limits.New(g.board).Run)
 	g.controllers.run(ups.Run)
 	g.controllers.run(members.Run)
+	g.controllers.run(g.announce)
 
 	server := serve.New(g.board, g.agents, settings.DataCentre, serve.NewMetrics(reg))
 	front := gateway.New(settings, g.board, server, configs, batch.NewStore(table, objects))
@@ -66,7 +71,7 @@
 	if g.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
 		return err
 	}
-	if g.peers, err = peer.Listen(settings.Peer, members.Handlers(), nil); err != nil {
+	if g.peers, err = peer.Listen(settings.Peer, g.peerHandlers(members), nil); err != nil {
 		return err
 	}
 	if g.http, err = front.Listen(); err != nil {
@@ -76,9 +81,10 @@
 	return nil
 }
 
-// statusHandlers returns the handlers of what agents report.
-func statusHandlers(ups *upstreams.Controller) peer.Handlers {
+// agentHandlers returns the handlers of what agents send.
+func (g *Gateway) agentHandlers(ups *upstreams.Controller) peer.Handlers {
 	return peer.Handlers{
+		peer.MethodConfig: peer.ServeConfig(g.board),
 		peer.MethodStatus: func(_ context.Context, from *peer.Session, params json.RawMessage) (any, error) {
 			status, err := peer.Decode[peer.Status](params)
 			if err != nil {
@@ -90,6 +96,31 @@
 	}
 }
 
+// peerHandlers returns the handlers of what other gateways send.
+func (g *Gateway) peerHandlers(members *membership.Controller) peer.Handlers {
+	handlers := members.Handlers()
+	handlers[peer.MethodConfig] = peer.ServeConfig(g.board)
+	return handlers
+}
+
+// Fetch implements configsync.Peers: it asks gateways and agents.
+func (g *Gateway) Fetch(ctx context.Context, have fleet.Head) (configstore.Bundle, bool) {
+	return peer.FetchConfig(ctx, append(g.gateways.Askers(), g.agents.Askers()...), have)
+}
+
+// announce tells every agent which version of the configuration is in force.
+func (g *Gateway) announce(ctx context.Context) {
+	for {
+		snap := g.board.Config.Load()
+		g.agents.Broadcast(ctx, peer.MethodVersion, peer.Version{ConfigVersion: snap.Value.Head.Version})
+		select {
+		case <-snap.Changed():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Stop implements Process.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.board.Phase.Publish(blackboard.Draining)
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/baobablanding/baobablanding/ctl"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/gateway"
+	"github.com/baobablanding/baobablanding/loopback"
 )
 
 // Options sizes a fleet. Zero values take the defaults of the demo.
@@ -129,7 +130,7 @@
 }
 
 func (f *Fleet) startPlatform(ctx context.Context) error {
-	address, err := FreeAddress()
+	address, err := loopback.Address()
 	if err != nil {
 		return err
 	}
@@ -162,7 +163,7 @@
 type addresses struct{ err error }
 
 func (a *addresses) next() string {
-	address, err := FreeAddress()
+	address, err := loopback.Address()
 	a.err = cmp.Or(a.err, err)
 	return address
 }
@@ -236,7 +237,7 @@
 }
 
 func (f *Fleet) startAgent(vm fleet.VM) error {
-	metrics, err := FreeAddress()
+	metrics, err := loopback.Address()
 	if err != nil {
 		return err
 	}
@@ -246,13 +247,17 @@
 }
 
 func (f *Fleet) startGateway(ctx context.Context, g fleet.Gateway) error {
-	metrics, err := FreeAddress()
+	metrics, err := loopback.Address()
 	if err != nil {
 		return err
 	}
+	var seeds []string
+	for _, other := range f.Inventory.Gateways {
+		seeds = append(seeds, other.Peer)
+	}
 	sum := sha256.Sum256([]byte(f.AdminKey))
 	err = f.runDaemon(g.Name, "baobab-gateway", config.Settings{
-		Name: g.Name, DataCentre: g.DataCentre, Listen: g.HTTP, Peer: g.Peer, Metrics: metrics,
+		Name: g.Name, DataCentre: g.DataCentre, Listen: g.HTTP, Peer: g.Peer, Metrics: metrics, Seeds: seeds,
 		AdminKeyDigest: hex.EncodeToString(sum[:]),
 	})
 	if err != nil {
--- /dev/null
+++ b/fleettest/config_test.go
@@ -0,0 +1,82 @@
+package fleettest_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/fleettest"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+// inForceBound is how soon an accepted change must be in force everywhere.
+const inForceBound = 3 * time.Second
+
+// takeOut returns an edit that takes a data centre out.
+func takeOut(dataCentre string) func(fleet.State) (fleet.State, error) {
+	return func(s fleet.State) (fleet.State, error) {
+		s.Out = append(s.Out, dataCentre)
+		return s, nil
+	}
+}
+
+func TestChangeReachesGatewaysWithoutTheStore(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Gateways: 3, Relay: true})
+	f.Relays["gateway-2"].Cut()
+	f.Relays["gateway-3"].Cut()
+	started := time.Now()
+	f.WaitVersion(f.Apply(takeOut("dc-1")))
+	if took := time.Since(started); took > inForceBound {
+		t.Errorf("in force everywhere after %s, bound %s", took, inForceBound)
+	}
+}
+
+func TestGatewayStartsDuringAnOutageFromItsPeers(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Gateways: 3})
+	version := f.Apply(takeOut("dc-none"))
+	f.WaitVersion(version)
+	f.Platform.Set(standin.Faults{Outage: true})
+	f.KillGateway("gateway-1")
+	f.StartGateway("gateway-1")
+	f.WaitVersion(version)
+	f.Eventually("the restarted gateway serves", func() bool {
+		status, _ := f.Chat(context.Background(), 0, "garrafon", "hello", false)
+		return status == http.StatusOK
+	})
+}
+
+func TestOutageOfTheStoreDoesNotStopService(t *testing.T) {
+	rules := fleet.Rules{Isolation: time.Second}
+	f := fleettest.Start(t, fleettest.Options{Gateways: 3, Rules: rules})
+	f.Platform.Set(standin.Faults{Outage: true})
+	f.KillGateway("gateway-3")
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for i := range 2 {
+			if status, body := f.Chat(context.Background(), i, "garrafon", "hello", false); status != http.StatusOK {
+				t.Fatalf("gateway %d answered %d %s", i, status, body)
+			}
+		}
+	}
+}
+
+func TestIsolatedGatewayStopsServing(t *testing.T) {
+	rules := fleet.Rules{Isolation: time.Second}
+	f := fleettest.Start(t, fleettest.Options{Gateways: 2, Rules: rules, Relay: true, RelayPeers: true})
+	f.Relays["gateway-2"].Cut()
+	f.PeerRelays["gateway-1"].Cut()
+	f.PeerRelays["gateway-2"].Cut()
+	f.Eventually("the isolated gateway refuses", func() bool {
+		status, _ := f.Chat(context.Background(), 1, "garrafon", "hello", false)
+		return status == http.StatusServiceUnavailable
+	})
+	if status, body := f.Chat(context.Background(), 0, "garrafon", "hello", false); status != http.StatusOK {
+		t.Errorf("the other gateway answered %d %s", status, body)
+	}
+	f.Relays["gateway-2"].Restore()
+	f.Eventually("the gateway serves again", func() bool {
+		status, _ := f.Chat(context.Background(), 1, "garrafon", "hello", false)
+		return status == http.StatusOK
+	})
+}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -22,6 +21,7 @@
 	"github.com/baobablanding/baobablanding/daemon"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/gateway"
+	"github.com/baobablanding/baobablanding/loopback"
 	"github.com/baobablanding/baobablanding/standin"
 )
 
@@ -53,6 +53,8 @@
 	Edit func(*fleet.Inventory)
 	// Relay puts a Relay between every daemon and the platform.
 	Relay bool
+	// RelayPeers puts a Relay before every gateway's peer address.
+	RelayPeers bool
 	// LogTo receives the daemons' logs; the default drops them.
 	LogTo io.Writer
 }
@@ -73,11 +75,15 @@
 	// Relays holds the relay between a daemon and the platform, by the daemon's
 	// name, if Options.Relay is set.
 	Relays map[string]*Relay
+	// PeerRelays holds the relay before a gateway's peer address, by the
+	// gateway's name, if Options.RelayPeers is set.
+	PeerRelays map[string]*Relay
 	// Keys maps a workspace to its key.
 	Keys map[string]string
 
-	t    testing.TB
-	opts Options
+	peers map[string]string // where gateways listen for other processes
+	t     testing.TB
+	opts  Options
 }
 
 // Start starts a fleet that ends with the test.
@@ -95,12 +101,14 @@
 		opts.Workspaces = []fleet.Workspace{{Name: "garrafon", Rate: 10000, Burst: 10000}}
 	}
 	f := &Fleet{
-		Gateways: make(map[string]daemon.Process),
-		Agents:   make(map[string]daemon.Process),
-		Relays:   make(map[string]*Relay),
-		Keys:     make(map[string]string),
-		t:        t,
-		opts:     opts,
+		Gateways:   make(map[string]daemon.Process),
+		Agents:     make(map[string]daemon.Process),
+		Relays:     make(map[string]*Relay),
+		PeerRelays: make(map[string]*Relay),
+		peers:      make(map[string]string),
+		Keys:       make(map[string]string),
+		t:          t,
+		opts:       opts,
 	}
 	t.Cleanup(f.close)
 	f.start()
@@ -134,12 +142,11 @@
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // plan makes the inventory and starts the stand-ins of the upstreams.
@@ -153,9 +160,9 @@
 		inv.DataCentres = append(inv.DataCentres, fleet.DataCentre{Name: f.dataCentre(i), Region: "test"})
 	}
 	for i := range f.opts.Gateways {
+		name := fmt.Sprintf("gateway-%d", i+1)
 		inv.Gateways = append(inv.Gateways, fleet.Gateway{
-			Name: fmt.Sprintf("gateway-%d", i+1), DataCentre: f.dataCentre(i),
-			Peer: freeAddress(f.t), HTTP: freeAddress(f.t),
+			Name: name, DataCentre: f.dataCentre(i), Peer: f.peerAddress(name), HTTP: freeAddress(f.t),
 		})
 	}
 	for i := range f.opts.Engines {
@@ -176,6 +183,18 @@
 	inv.SetDefaults()
 }
 
+// peerAddress chooses where the gateway listens for other processes, and
+// returns where they reach it.
+func (f *Fleet) peerAddress(name string) string {
+	f.t.Helper()
+	f.peers[name] = freeAddress(f.t)
+	if !f.opts.RelayPeers {
+		return f.peers[name]
+	}
+	f.PeerRelays[name] = NewRelay(f.t, f.peers[name])
+	return f.PeerRelays[name].Addr()
+}
+
 func (f *Fleet) planServices() {
 	route := fleet.Route{Name: "orders", Prefix: RoutePrefix, Idempotent: []string{"GET"}}
 	for i := range f.opts.Services {
@@ -281,8 +300,11 @@
 		if g.Name != name {
 			continue
 		}
-		s := f.settings(g.Name, g.DataCentre, g.Peer)
+		s := f.settings(g.Name, g.DataCentre, f.peers[g.Name])
 		s.Listen = g.HTTP
+		for _, other := range f.Inventory.Gateways {
+			s.Seeds = append(s.Seeds, other.Peer)
+		}
 		sum := sha256.Sum256([]byte(AdminKey))
 		s.AdminKeyDigest = hex.EncodeToString(sum[:])
 		p, err := daemon.StartGateway(s, f.logger())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"net/http"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/zeromicro/go-zero/rest"
@@ -72,12 +73,30 @@
 
 // readyz tells the balancer whether the gateway takes requests.
 func (g *Gateway) readyz(w http.ResponseWriter, _ *http.Request) {
-	phase := g.board.Phase.Value()
 	status := http.StatusOK
-	if phase != blackboard.Serving || g.view() == nil {
+	reason := g.readiness()
+	if reason != ready {
 		status = http.StatusServiceUnavailable
 	}
-	writeJSON(w, status, map[string]string{"status": phase.String()})
+	writeJSON(w, status, map[string]string{"status": reason})
+}
+
+// ready is the readiness of a gateway that takes requests.
+const ready = "serving"
+
+// readiness returns ready, or why the gateway takes no requests.
+func (g *Gateway) readiness() string {
+	phase := g.board.Phase.Value()
+	switch {
+	case phase != blackboard.Serving:
+		return phase.String()
+	case g.view() == nil:
+		return result.ConfigMissing.String()
+	case time.Now().After(g.board.Freshness.Value().Until):
+		return result.ConfigStale.String()
+	default:
+		return ready
+	}
 }
 
 // handler is an HTTP handler that returns its failure.
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -116,6 +116,15 @@
 	ID string `json:"id"`
 }
 
+// MethodVersion notifies an agent of the version that a gateway has in force.
+const MethodVersion = "version"
+
+// Version names a version of the configuration.
+type Version struct {
+	// ConfigVersion is the version that the sender has in force.
+	ConfigVersion uint64 `json:"config_version"`
+}
+
 // MethodGossip notifies another gateway of what the sender knows.
 const MethodGossip = "gossip"
 
@@ -127,8 +136,8 @@
 	Incarnation string `json:"incarnation"`
 	// ConfigVersion is the version that the sender has in force.
 	ConfigVersion uint64 `json:"config_version"`
-	// StoreAge is the time since the sender last read the head of the
-	// configuration, or negative if it never did.
+	// StoreAge is the time since the sender, or a gateway it heard of, last read
+	// the head of the configuration, or negative if none is known.
 	StoreAge time.Duration `json:"store_age"`
 	// Draining tells that the sender stops.
 	Draining bool `json:"draining,omitempty"`
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -22,12 +24,15 @@
 	chunkBacklog = 1024 // chunks that a slow reader may leave unread
 )
 
-// LinkEvent reports that a connection was made or lost.
+// LinkEvent reports that a connection was made or lost, or that it was refused.
 type LinkEvent struct {
 	// Address is the remote address.
 	Address string
 	// Up tells whether the connection is usable.
 	Up bool
+	// Refused tells that the remote host refused the connection: no process
+	// listens at the address.
+	Refused bool
 }
 
 // Pool keeps connections to other processes: for each address one for online
@@ -115,8 +120,13 @@
 func (p *Pool) keep(ctx context.Context, l *link) {
 	defer p.wg.Done()
 	delay := minRedial
+	refused := false
 	for ctx.Err() == nil {
 		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", l.address)
+		if now := errors.Is(err, syscall.ECONNREFUSED); now != refused {
+			refused = now
+			p.report(l, LinkEvent{Refused: refused})
+		}
 		if err == nil {
 			delay = minRedial
 			p.serve(ctx, l, conn)
@@ -153,15 +163,16 @@
 	session.conn = jsonrpc2.NewConn(ctx, stream, dispatcher{session, handlers, ready}, silent)
 	close(ready)
 	l.session.Store(session)
-	p.report(l, true)
+	p.report(l, LinkEvent{Up: true})
 	<-session.Done()
 	l.session.CompareAndSwap(session, nil)
-	p.report(l, false)
+	p.report(l, LinkEvent{})
 }
 
-func (p *Pool) report(l *link, up bool) {
+func (p *Pool) report(l *link, e LinkEvent) {
 	if p.event != nil && l.class == fleet.Online {
-		p.event(LinkEvent{Address: l.address, Up: up})
+		e.Address = l.address
+		p.event(e)
 	}
 }
 
@@ -212,10 +223,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.conn.Call(ctx, method, params, value); err != nil {
-		return decodeError(err)
-	}
-	return nil
+	return s.Call(ctx, method, params, value)
 }
 
 // Notify sends a notification on the online connection.
@@ -227,6 +235,27 @@
 	return s.Notify(ctx, method, params)
 }
 
+// Askers returns what asks each connected process.
+func (p *Pool) Askers() []Asker {
+	var askers []Asker
+	for _, l := range *p.links.Load() {
+		if s := l.online.session.Load(); s != nil {
+			askers = append(askers, s.Call)
+		}
+	}
+	return askers
+}
+
+// Broadcast sends a notification on every online connection. Connections that
+// are lost are passed over.
+func (p *Pool) Broadcast(ctx context.Context, method string, params any) {
+	for _, l := range *p.links.Load() {
+		if s := l.online.session.Load(); s != nil {
+			_ = s.Notify(ctx, method, params)
+		}
+	}
+}
+
 // Close closes every connection.
 func (p *Pool) Close() {
 	p.cancel()
--- /dev/null
+++ b/policy/contact/contact_test.go
@@ -0,0 +1,52 @@
+package contact
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestUntil runs the decisions of testdata. Times are seconds before now; a dash
+// means never. Each line of input describes another gateway by when it was
+// heard, when it read the store, and whether it is dead.
+func TestUntil(t *testing.T) {
+	datadriven.RunTest(t, "testdata/until", func(t *testing.T, d *datadriven.TestData) string {
+		now := time.Unix(1000, 0)
+		var own, bound string
+		d.ScanArgs(t, "read", &own)
+		d.ScanArgs(t, "bound", &bound)
+		var others []Gateway
+		for line := range strings.Lines(d.Input) {
+			fields := strings.Fields(line)
+			others = append(others, Gateway{
+				Heard:     before(t, now, fields[0]),
+				StoreRead: before(t, now, fields[1]),
+				Dead:      len(fields) > 2 && fields[2] == "dead",
+			})
+		}
+		limit, err := time.ParseDuration(bound)
+		if err != nil {
+			t.Fatal(err)
+		}
+		until := Until(now, before(t, now, own), others, limit)
+		if !until.After(now) {
+			return "refuse\n"
+		}
+		return fmt.Sprintf("serve for %s\n", until.Sub(now))
+	})
+}
+
+func before(t *testing.T, now time.Time, text string) time.Time {
+	t.Helper()
+	if text == "-" {
+		return time.Time{}
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return now.Add(-d)
+}
--- a/serve/admit.go
+++ b/serve/admit.go
@@ -16,6 +16,9 @@
 	if s.board.Phase.Value() != blackboard.Serving {
 		return nil, result.New(result.Draining, result.NotRun).After(time.Second)
 	}
+	if time.Now().After(s.board.Freshness.Value().Until) {
+		return nil, result.New(result.ConfigStale, result.NotRun).After(time.Second)
+	}
 	c := &call{Request: req, view: view}
 	if req.Route == nil || !req.Route.Open {
 		workspace, err := Authenticate(view, req)
