Give a whole answer no backlog of chunks

Cause: each request made a channel of 1024 chunks by value, 72 KB that were cleared and collected again; runtime.makechan showed under peer.(*Pool).Run. Whole answers have no chunks, and streams need only pointers. Conclusion: kept for the memory; the time is to be measured again.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -189,7 +189,7 @@
 	}
 	answer := value.(*answer)
 	select {
-	case answer.chunks <- c:
+	case answer.chunks <- &c:
 	default:
 		answer.overflow()
 	}
--- a/peer/run.go
+++ b/peer/run.go
@@ -9,11 +9,21 @@
 
 // answer collects the chunks of one running request.
 type answer struct {
-	chunks  chan Chunk
+	chunks  chan *Chunk
 	full    chan struct{}
 	endOnce sync.Once
 }
 
+// newAnswer returns an answer that holds the backlog of a stream. A whole
+// answer has no chunks, so it gets no room for them.
+func newAnswer(stream bool) *answer {
+	backlog := 0
+	if stream {
+		backlog = chunkBacklog
+	}
+	return &answer{chunks: make(chan *Chunk, backlog), full: make(chan struct{})}
+}
+
 func (a *answer) overflow() { a.endOnce.Do(func() { close(a.full) }) }
 
 // Run sends the request to the agent at the address and waits for the whole
@@ -25,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &answer{chunks: make(chan Chunk, chunkBacklog), full: make(chan struct{})}
+	a := newAnswer(req.Stream)
 	l.answers.Store(req.ID, a)
 	defer l.answers.Delete(req.ID)
 
@@ -68,12 +78,12 @@
 }
 
 // take passes a chunk on after checking that none is missing.
-func (r *run) take(c Chunk) error {
+func (r *run) take(c *Chunk) error {
 	if c.Seq != r.seen {
 		return result.New(result.AnswerIncomplete, result.Answered)
 	}
 	r.seen++
-	return r.sink(c)
+	return r.sink(*c)
 }
 
 // failed returns the typed form of a call's error and cancels the request if
