Report how fast objectives use up their budgets

Ruled out: writing counters to the table (a write per gateway and interval for figures that a time-series database keeps better); the page says what a restart loses. A gap between tokens is counted in the call and added once at its end, so that a stream costs no atomic per token.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -21,6 +21,8 @@
 	Members Section[*Members]
 	// Limits holds a rate limiter for each workspace.
 	Limits Section[*Limits]
+	// Objectives holds the service-level objectives with their counters.
+	Objectives Section[*Objectives]
 }
 
 // Notice takes in that another process has a version of the configuration.
@@ -37,5 +39,6 @@
 	b.Upstreams.Publish(NewUpstreams(nil))
 	b.Members.Publish(new(Members))
 	b.Limits.Publish(new(Limits))
+	b.Objectives.Publish(new(Objectives))
 	return b
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/baobablanding/baobablanding/controller/freshness"
 	"github.com/baobablanding/baobablanding/controller/limits"
 	"github.com/baobablanding/baobablanding/controller/membership"
+	"github.com/baobablanding/baobablanding/controller/objectives"
 	"github.com/baobablanding/baobablanding/controller/upstreams"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/gateway"
@@ -61,6 +62,7 @@
 	g.controllers.run(configsync.New(g.board, configs, g, logger).Run)
 	g.controllers.run(freshness.New(g.board, logger).Run)
 	g.controllers.run(limits.New(g.board).Run)
+	g.controllers.run(objectives.New(g.board).Run)
 	g.controllers.run(ups.Run)
 	g.controllers.run(members.Run)
 	g.controllers.run(g.announce)
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -30,6 +30,7 @@
 		{Method: http.MethodGet, Path: "/admin/status", Handler: g.withOperator(g.showStatus)},
 		{Method: http.MethodGet, Path: "/admin/upstreams", Handler: g.withOperator(g.showUpstreams)},
 		{Method: http.MethodGet, Path: "/admin/workspaces", Handler: g.withOperator(g.showWorkspaces)},
+		{Method: http.MethodGet, Path: BurnPath, Handler: g.withOperator(g.showBurn)},
 		{Method: http.MethodGet, Path: "/admin/jobs", Handler: g.withOperator(g.showJobs)},
 	}
 }
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -24,6 +24,7 @@
 	tried     []string
 	started   bool
 	firstByte time.Time
+	tracker   tracker
 }
 
 // attempts tries upstreams until one answers or no further attempt is allowed.
@@ -139,6 +140,7 @@
 			return err
 		}
 	}
+	c.tracker.chunk()
 	return c.write(part.Data)
 }
 
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -54,6 +54,7 @@
 	if !c.firstByte.IsZero() {
 		m.firstByte.WithLabelValues(route).Observe(c.firstByte.Sub(c.Received).Seconds())
 	}
+	c.tracker.done(c.Received, c.firstByte, err)
 }
 
 func codeLabel(err error) string {
--- a/serve/server.go
+++ b/serve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/peer"
@@ -33,13 +34,22 @@
 	view := s.board.Config.Value().View
 	call, err := s.admit(view, req)
 	if err != nil {
-		s.metrics.refused(err)
+		s.refused(req, err)
 		return err
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, view.Inventory.Rules.RequestTimeout, context.DeadlineExceeded)
 	defer cancel()
 	call.sink = sink
+	call.tracker = newTracker(s.board.Objectives.Value(), call.workspaceName(), routeName(req))
 	err = s.attempts(ctx, call)
 	s.metrics.done(call, err)
 	return err
 }
+
+// refused counts a request that was not admitted. Its workspace is not known,
+// so only objectives for all workspaces cover it.
+func (s *Server) refused(req *Request, err error) {
+	s.metrics.refused(err)
+	t := newTracker(s.board.Objectives.Value(), "", routeName(req))
+	t.done(req.Received, time.Time{}, err)
+}
