--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
-LDFLAGS := -X github.com/baobablanding/baobablanding/daemon.Version=$(VERSION)
+LDFLAGS := -X github.com/baobablanding/baobablanding/daemon.Version=$(VERSION) -X github.com/baobablanding/baobablanding/ctl.Version=$(VERSION)
 
 .PHONY: build test demo up lint ci clean
 
--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -49,6 +49,8 @@
 	DataCentre string
 	// Agent is the address of the agent that fronts the upstream.
 	Agent string
+	// AgentVersion is the version of the configuration that the agent has.
+	AgentVersion uint64
 	// State is the state that the agent reported last.
 	State fleet.UpstreamState
 	// Out tells that the upstream's data centre is taken out.
--- /dev/null
+++ b/cmd/baobabctl/main.go
@@ -0,0 +1,10 @@
+// Command baobabctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/baobablanding/baobablanding/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/config/inventory.go
+++ b/config/inventory.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
+	"strconv"
 
 	"go.yaml.in/yaml/v3"
 
@@ -95,10 +97,22 @@
 	return errors.Join(problems...)
 }
 
+// Forms of the YAML library's messages.
+var (
+	linePattern  = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
+	fieldPattern = regexp.MustCompile(`^field (\S+) not found in type \S+$`)
+)
+
+// parseProblem returns the problem that a message of the YAML library reports.
 func parseProblem(file, text string) Problem {
 	p := Problem{File: file, Field: "yaml", Text: text, Code: result.ConfigInvalid}
-	if _, err := fmt.Sscanf(text, "line %d:", &p.Line); err != nil {
-		_, _ = fmt.Sscanf(text, "yaml: line %d:", &p.Line)
+	if m := linePattern.FindStringSubmatch(text); m != nil {
+		p.Line, _ = strconv.Atoi(m[1])
+		p.Text = m[2]
+	}
+	if m := fieldPattern.FindStringSubmatch(p.Text); m != nil {
+		p.Field = m[1]
+		p.Text = "the field does not exist"
 	}
 	return p
 }
--- a/controller/upstreams/upstreams.go
+++ b/controller/upstreams/upstreams.go
@@ -35,6 +35,7 @@
 // agentState is what is known of one agent.
 type agentState struct {
 	connected bool
+	version   uint64 // of the configuration
 	states    map[string]fleet.UpstreamState
 }
 
@@ -128,6 +129,7 @@
 
 func (c *Controller) takeStatus(e statusEvent) {
 	a := c.agent(e.address)
+	a.version = e.status.ConfigVersion
 	for _, r := range e.status.Reports {
 		state := r.State
 		if e.status.Draining {
@@ -174,12 +176,13 @@
 	vm := view.VM(spec.VM)
 	a := c.agent(vm.Agent)
 	return &blackboard.Upstream{
-		Spec:       spec,
-		DataCentre: vm.DataCentre,
-		Agent:      vm.Agent,
-		State:      a.states[spec.Name],
-		Out:        view.IsOut(vm.DataCentre),
-		Connected:  a.connected,
-		Load:       c.load(spec.Name),
+		Spec:         spec,
+		DataCentre:   vm.DataCentre,
+		Agent:        vm.Agent,
+		AgentVersion: a.version,
+		State:        a.states[spec.Name],
+		Out:          view.IsOut(vm.DataCentre),
+		Connected:    a.connected,
+		Load:         c.load(spec.Name),
 	}
 }
--- /dev/null
+++ b/ctl/main_test.go
@@ -0,0 +1,103 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/config"
+	"github.com/baobablanding/baobablanding/ctl"
+	"github.com/baobablanding/baobablanding/fleettest"
+)
+
+// run runs the command line against the fleet's first gateway.
+func run(f *fleettest.Fleet, args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = ctl.Main(append([]string{"--gateway", f.URL(0)}, args...), &o, &e)
+	return code, o.String(), e.String()
+}
+
+func expect(t *testing.T, f *fleettest.Fleet, code int, contains string, args ...string) string {
+	t.Helper()
+	got, out, errOut := run(f, args...)
+	if got != code || !strings.Contains(out+errOut, contains) {
+		t.Fatalf("baobabctl %v: exit %d, want %d with %q\n%s%s", args, got, code, contains, out, errOut)
+	}
+	return out
+}
+
+func TestCommands(t *testing.T) {
+	t.Setenv("BAOBAB_ADMIN_KEY", fleettest.AdminKey)
+	f := fleettest.Start(t, fleettest.Options{DataCentres: 2, Gateways: 2, Engines: 2})
+
+	out := expect(t, f, ctl.ExitOK, `"key": "bl-`, "--json", "key", "issue", "garrafon")
+	var key struct{ ID, Key string }
+	if err := json.Unmarshal([]byte(out), &key); err != nil {
+		t.Fatal(err)
+	}
+	f.Keys["issued"] = key.Key
+	for i := range 2 {
+		if status, body := f.Chat(context.Background(), i, "issued", "hello", false); status != http.StatusOK {
+			t.Fatalf("gateway %d refuses the new key: %d %s", i, status, body)
+		}
+	}
+	started := time.Now()
+	expect(t, f, ctl.ExitOK, "in force on 4 daemons", "key", "withdraw", key.ID)
+	if took := time.Since(started); took > 3*time.Second {
+		t.Errorf("withdrawal took %s", took)
+	}
+	for i := range 2 {
+		if status, body := f.Chat(context.Background(), i, "issued", "hello", false); status != http.StatusUnauthorized || !strings.Contains(body, "key_withdrawn") {
+			t.Errorf("gateway %d answered a withdrawn key with %d %s", i, status, body)
+		}
+	}
+	expect(t, f, ctl.ExitOK, key.ID, "key", "list")
+	expect(t, f, ctl.ExitFailed, "unknown_name (5005)", "key", "withdraw", "no-such-key")
+	expect(t, f, ctl.ExitFailed, "unknown_name (5005)", "key", "issue", "nobody")
+
+	expect(t, f, ctl.ExitOK, "in force on 4 daemons", "dc", "out", "dc-2")
+	expect(t, f, ctl.ExitOK, "true", "upstreams")
+	expect(t, f, ctl.ExitOK, "taken out: dc-2", "show")
+	expect(t, f, ctl.ExitOK, "in force on 4 daemons", "dc", "in", "dc-2")
+	expect(t, f, ctl.ExitOK, "take out data centre dc-2", "history")
+	expect(t, f, ctl.ExitOK, "in force", "status")
+	expect(t, f, ctl.ExitOK, "garrafon", "workspaces")
+	expect(t, f, ctl.ExitOK, "ITEMS", "jobs")
+	expect(t, f, ctl.ExitUsage, "", "bogus")
+}
+
+func TestApplyAndConflict(t *testing.T) {
+	t.Setenv("BAOBAB_ADMIN_KEY", fleettest.AdminKey)
+	f := fleettest.Start(t, fleettest.Options{})
+	inv := f.Inventory
+	inv.Workspaces[0].Rate = 77
+	text, err := config.FormatInventory(&inv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "inventory.yaml")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, f, ctl.ExitOK, "rate: 77", "diff", file)
+	expect(t, f, ctl.ExitOK, "in force on 2 daemons", "apply", "--base", "1", "--operation", "op-1", file)
+	expect(t, f, ctl.ExitConflict, "config_conflict (5002)", "apply", "--base", "1", file)
+	expect(t, f, ctl.ExitOK, "version 2 in force", "apply", "--base", "1", "--operation", "op-1", file)
+	expect(t, f, ctl.ExitUsage, "no-such-file", "check", "no-such-file")
+}
+
+func TestErrors(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{})
+	t.Setenv("BAOBAB_ADMIN_KEY", "wrong")
+	expect(t, f, ctl.ExitFailed, "admin_key_needed (2005)", "status")
+	var o, e bytes.Buffer
+	if code := ctl.Main([]string{"--gateway", "http://127.0.0.1:1", "status"}, &o, &e); code != ctl.ExitUnreachable {
+		t.Errorf("unreachable gateway: exit %d, %s", code, e.String())
+	}
+}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -92,14 +92,16 @@
 	_ = s.Notify(context.Background(), peer.MethodStatus, a.status())
 }
 
-// announce tells every connection when the state of the upstreams changes.
+// announce tells every connection when the state of the upstreams or the
+// configuration changes.
 func (a *Agent) announce(ctx context.Context) {
 	for {
-		ups, phase := a.board.Upstreams.Load(), a.board.Phase.Load()
+		ups, phase, config := a.board.Upstreams.Load(), a.board.Phase.Load(), a.board.Config.Load()
 		a.peers.Broadcast(ctx, peer.MethodStatus, a.status())
 		select {
 		case <-ups.Changed():
 		case <-phase.Changed():
+		case <-config.Changed():
 		case <-ctx.Done():
 			return
 		}
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base64"
@@ -28,6 +29,7 @@
 		{Method: http.MethodPost, Path: "/admin/keys/withdraw", Handler: g.withOperator(g.withdrawKey)},
 		{Method: http.MethodPost, Path: "/admin/data-centres", Handler: g.withOperator(g.setDataCentre)},
 		{Method: http.MethodGet, Path: "/admin/status", Handler: g.withOperator(g.showStatus)},
+		{Method: http.MethodGet, Path: "/admin/in-force", Handler: g.withOperator(g.showInForce)},
 		{Method: http.MethodGet, Path: "/admin/upstreams", Handler: g.withOperator(g.showUpstreams)},
 		{Method: http.MethodGet, Path: "/admin/workspaces", Handler: g.withOperator(g.showWorkspaces)},
 		{Method: http.MethodGet, Path: "/admin/jobs", Handler: g.withOperator(g.showJobs)},
@@ -151,10 +153,7 @@
 }
 
 func (g *Gateway) change(w http.ResponseWriter, r *http.Request, change configstore.Change) error {
-	if change.Operation == "" {
-		return result.Errorf(result.BadRequest, "an operation id is required")
-	}
-	head, err := g.configs.Apply(r.Context(), change)
+	head, err := g.accept(r.Context(), change)
 	if err != nil {
 		return err
 	}
@@ -162,6 +161,18 @@
 	return nil
 }
 
+// accept makes the change and has its version read at once.
+func (g *Gateway) accept(ctx context.Context, change configstore.Change) (fleet.Head, error) {
+	if change.Operation == "" {
+		return fleet.Head{}, result.Errorf(result.BadRequest, "an operation id is required")
+	}
+	head, err := g.configs.Apply(ctx, change)
+	if err == nil {
+		g.board.Notice(head.Version)
+	}
+	return head, err
+}
+
 func (g *Gateway) applyConfig(w http.ResponseWriter, r *http.Request, _ string) error {
 	req, err := decodeAdmin[ApplyRequest](g, w, r)
 	if err != nil {
@@ -249,7 +260,7 @@
 	if err != nil {
 		return err
 	}
-	head, err := g.configs.Apply(r.Context(), configstore.Change{
+	head, err := g.accept(r.Context(), configstore.Change{
 		Operation: req.Operation,
 		Author:    req.Author,
 		Summary:   "issue " + key.ID,
