--- a/devfleet/usage.go
+++ b/devfleet/usage.go
@@ -16,6 +16,9 @@
 	CPU time.Duration
 	// Resident is the resident memory in bytes.
 	Resident int64
+	// Transferred is the number of bytes that the process read and wrote, on
+	// connections and files.
+	Transferred int64
 }
 
 // Fields of /proc/<pid>/stat after the command's name.
@@ -34,15 +37,34 @@
 	if err != nil {
 		return Usage{}, fmt.Errorf("usage of %s: %w", p.Name, err)
 	}
-	return parseStat(data)
+	u, err := parseStat(data)
+	if err != nil {
+		return u, err
+	}
+	data, err = os.ReadFile(fmt.Sprintf("/proc/%d/io", p.PID()))
+	if err != nil {
+		return u, fmt.Errorf("usage of %s: %w", p.Name, err)
+	}
+	u.Transferred, err = parseIO(data)
+	return u, err
+}
+
+// parseIO reads the content of /proc/<pid>/io.
+func parseIO(data []byte) (int64, error) {
+	var read, written int64
+	_, err := fmt.Sscanf(string(data), "rchar: %d\nwchar: %d\n", &read, &written)
+	if err != nil {
+		return 0, fmt.Errorf("process status is malformed: %w", err)
+	}
+	return read + written, nil
 }
 
 // parseStat reads the content of /proc/<pid>/stat. The command's name is in
-// parentheses and may contain spaces.
+// parentheses and may contain spaces and parentheses itself.
 func parseStat(data []byte) (Usage, error) {
-	_, rest, ok := bytes.Cut(data, []byte(") "))
-	fields := strings.Fields(string(rest))
-	if !ok || len(fields) <= statResident {
+	end := bytes.LastIndexByte(data, ')')
+	fields := strings.Fields(string(data[end+1:]))
+	if end < 0 || len(fields) <= statResident {
 		return Usage{}, fmt.Errorf("process status is malformed")
 	}
 	var values [3]int64
--- /dev/null
+++ b/load/capacity_bench_test.go
@@ -0,0 +1,180 @@
+package load_test
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/policy/burn"
+	"github.com/baobablanding/baobablanding/policy/route"
+)
+
+// scales are the tenths of the target size at which the benchmarks run.
+var scales = []int{1, 3, 10}
+
+// stateOf returns a configuration of so many tenths of the target size.
+func stateOf(tenths int) fleet.State {
+	inv := fleet.Inventory{}
+	for i := range 10 {
+		inv.DataCentres = append(inv.DataCentres, fleet.DataCentre{Name: fmt.Sprintf("dc-%d", i), Region: fmt.Sprintf("region-%d", i%4)})
+	}
+	for i := range 41 * tenths {
+		inv.Gateways = append(inv.Gateways, fleet.Gateway{
+			Name: fmt.Sprintf("gateway-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%10),
+			Peer: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), HTTP: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250),
+		})
+	}
+	for i := range 6 {
+		inv.Models = append(inv.Models, fleet.Model{Name: fmt.Sprintf("model-%d", i)})
+	}
+	for i := range 180 * tenths {
+		vm := fmt.Sprintf("vm-%d", i)
+		address := fmt.Sprintf("10.1.%d.%d", i/250, i%250)
+		inv.VMs = append(inv.VMs, fleet.VM{Name: vm, DataCentre: fmt.Sprintf("dc-%d", i%10), Agent: address + ":7000"})
+		inv.Upstreams = append(inv.Upstreams, fleet.Upstream{
+			Name: fmt.Sprintf("engine-%d", i), VM: vm, Kind: fleet.Engine, URL: "http://" + address + ":8000",
+			Models: []string{fmt.Sprintf("model-%d", i%6)}, Slots: 64, ColdSlots: 4,
+		})
+	}
+	for i := range 140 * tenths {
+		name := fmt.Sprintf("workspace-%d", i)
+		inv.Workspaces = append(inv.Workspaces, fleet.Workspace{Name: name, Rate: 5, Burst: 10})
+		for _, kind := range []string{"first_token", "between_tokens", "success"} {
+			inv.Objectives = append(inv.Objectives, fleet.Objective{Name: name + "-" + kind, Workspace: name, Kind: kind, Threshold: time.Second, Target: 0.95})
+		}
+	}
+	inv.SetDefaults()
+	s := fleet.State{Version: 1, Inventory: inv}
+	for i := range 560 * tenths {
+		s.Keys = append(s.Keys, fleet.Key{
+			ID: fmt.Sprintf("key-%d", i), Digest: sha256.Sum256(fmt.Append(nil, i)),
+			Workspace: fmt.Sprintf("workspace-%d", i%(140*tenths)), Issued: time.Now(),
+		})
+	}
+	return s
+}
+
+// eachScale runs the benchmark at growing sizes.
+func eachScale(b *testing.B, run func(b *testing.B, s fleet.State)) {
+	for _, tenths := range scales {
+		s := stateOf(tenths)
+		b.Run(fmt.Sprintf("tenths=%d", tenths), func(b *testing.B) {
+			b.ReportAllocs()
+			run(b, s)
+		})
+	}
+}
+
+func BenchmarkView(b *testing.B) {
+	eachScale(b, func(b *testing.B, s fleet.State) {
+		for b.Loop() {
+			fleet.NewView(s)
+		}
+	})
+}
+
+func BenchmarkDecodeInventory(b *testing.B) {
+	eachScale(b, func(b *testing.B, s fleet.State) {
+		data, err := json.Marshal(s.Inventory)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			var inv fleet.Inventory
+			if err := json.Unmarshal(data, &inv); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(data)), "encoded-bytes")
+	})
+}
+
+func upstreamsOf(s *fleet.State) []*blackboard.Upstream {
+	all := make([]*blackboard.Upstream, 0, len(s.Inventory.Upstreams))
+	for i := range s.Inventory.Upstreams {
+		all = append(all, &blackboard.Upstream{
+			Spec: &s.Inventory.Upstreams[i], DataCentre: s.Inventory.VMs[i].DataCentre, Agent: s.Inventory.VMs[i].Agent,
+			State: fleet.Ready, Connected: true, Load: new(blackboard.Load),
+		})
+	}
+	return all
+}
+
+func BenchmarkPublishUpstreams(b *testing.B) {
+	eachScale(b, func(b *testing.B, s fleet.State) {
+		board := blackboard.New()
+		for b.Loop() {
+			board.Upstreams.Publish(blackboard.NewUpstreams(upstreamsOf(&s)))
+		}
+	})
+}
+
+func BenchmarkRouteDecision(b *testing.B) {
+	eachScale(b, func(b *testing.B, s fleet.State) {
+		for i := range s.Inventory.Upstreams {
+			s.Inventory.Upstreams[i].Models = []string{"model-0"}
+		}
+		candidates := blackboard.NewUpstreams(upstreamsOf(&s)).ByModel("model-0")
+		req := route.Request{DataCentre: "dc-1", Tried: func(*blackboard.Upstream) bool { return false }}
+		for b.Loop() {
+			req.Random++
+			if route.Choose(candidates, &req) == nil {
+				b.Fatal("no upstream")
+			}
+		}
+	})
+}
+
+func BenchmarkObjectiveHistories(b *testing.B) {
+	eachScale(b, func(b *testing.B, s fleet.State) {
+		now := time.Now()
+		histories := make([]*burn.History, len(s.Inventory.Objectives))
+		for i := range histories {
+			histories[i] = burn.NewHistory(now)
+		}
+		for b.Loop() {
+			now = now.Add(burn.FineStep)
+			for _, h := range histories {
+				h.Add(now, burn.Count{})
+				for _, w := range burn.Windows() {
+					h.Start(now, w)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkResident reports the memory that a configuration and its histories
+// hold.
+func BenchmarkResident(b *testing.B) {
+	eachScale(b, func(b *testing.B, s fleet.State) {
+		data, err := json.Marshal(s)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var view *fleet.View
+		before := heapInUse()
+		for b.Loop() {
+			var decoded fleet.State
+			if err := json.Unmarshal(data, &decoded); err != nil {
+				b.Fatal(err)
+			}
+			view = fleet.NewView(decoded)
+		}
+		b.ReportMetric(float64(heapInUse()-before), "held-bytes")
+		runtime.KeepAlive(view)
+		runtime.KeepAlive(data)
+	})
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/load/command.go
+++ b/load/command.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -18,22 +19,25 @@
 
 // commandArgs is the command line of baobab-load.
 type commandArgs struct {
-	Profiles  []string      `arg:"--profile,separate" help:"garrafon or guild; may be repeated"`
-	File      string        `arg:"--scenario" placeholder:"FILE" help:"YAML file with a scenario"`
-	Variants  []string      `arg:"--variant,separate" help:"burst, steady, batch, batch-alone, over-rate, data-centre-out, gateway-killed or direct; may be repeated; the first is the base of the ratios"`
-	Seed      uint64        `arg:"--seed" help:"seed of the schedule"`
-	Duration  time.Duration `arg:"--duration" help:"length of the counted part"`
-	Offered   float64       `arg:"--offered" help:"offered requests per second over all workspaces; their rates grow with it"`
-	EngineArg []string      `arg:"--engine-arg,separate" help:"argument of the stand-in engines in place of the scenario's"`
-	Slots     int           `arg:"--slots" help:"requests that an engine gets at once"`
-	Whole     bool          `arg:"--whole" help:"ask for whole answers in place of streams"`
-	Bin       string        `arg:"--bin" help:"folder with the programs; the default is this program's folder"`
-	Gateways  []string      `arg:"--gateway,separate" placeholder:"URL" help:"base address of a running gateway; without one the run starts a fleet"`
-	Keys      []string      `arg:"--key,separate" placeholder:"WORKSPACE=KEY" help:"key of a workspace of the running fleet"`
-	AdminKey  string        `arg:"--admin-key,env:BAOBAB_ADMIN_KEY" help:"operators' key of the running fleet"`
-	Model     string        `arg:"--model" default:"demo-chat" help:"model of the running fleet"`
-	JSON      string        `arg:"--json" placeholder:"FILE" help:"write the results as JSON; - is standard output"`
-	HTML      string        `arg:"--html" placeholder:"FILE" help:"write a page with plots"`
+	Profiles       []string      `arg:"--profile,separate" help:"garrafon or guild; may be repeated"`
+	File           string        `arg:"--scenario" placeholder:"FILE" help:"YAML file with a scenario"`
+	Variants       []string      `arg:"--variant,separate" help:"burst, steady, batch, batch-alone, over-rate, data-centre-out, gateway-killed, direct or idle; may be repeated; the first is the base of the ratios"`
+	Seed           uint64        `arg:"--seed" help:"seed of the schedule"`
+	Duration       time.Duration `arg:"--duration" help:"length of the counted part"`
+	Offered        float64       `arg:"--offered" help:"offered requests per second over all workspaces; their rates grow with it"`
+	EngineArg      []string      `arg:"--engine-arg,separate" help:"argument of the stand-in engines in place of the scenario's"`
+	Slots          int           `arg:"--slots" help:"requests that an engine gets at once"`
+	GatewayCount   int           `arg:"--gateways" help:"number of gateways in place of the scenario's"`
+	EngineCount    int           `arg:"--engines" help:"number of engines in place of the scenario's"`
+	WorkspaceCount int           `arg:"--workspaces" help:"number of workspaces; those beyond the scenario's send nothing"`
+	Whole          bool          `arg:"--whole" help:"ask for whole answers in place of streams"`
+	Bin            string        `arg:"--bin" help:"folder with the programs; the default is this program's folder"`
+	Gateways       []string      `arg:"--gateway,separate" placeholder:"URL" help:"base address of a running gateway; without one the run starts a fleet"`
+	Keys           []string      `arg:"--key,separate" placeholder:"WORKSPACE=KEY" help:"key of a workspace of the running fleet"`
+	AdminKey       string        `arg:"--admin-key,env:BAOBAB_ADMIN_KEY" help:"operators' key of the running fleet"`
+	Model          string        `arg:"--model" default:"demo-chat" help:"model of the running fleet"`
+	JSON           string        `arg:"--json" placeholder:"FILE" help:"write the results as JSON; - is standard output"`
+	HTML           string        `arg:"--html" placeholder:"FILE" help:"write a page with plots"`
 }
 
 // Command runs baobab-load and returns its exit code.
@@ -105,6 +109,11 @@
 	if a.Slots != 0 {
 		s.Fleet.Slots = a.Slots
 	}
+	s.Fleet.Gateways = cmp.Or(a.GatewayCount, s.Fleet.Gateways)
+	s.Fleet.Engines = cmp.Or(a.EngineCount, s.Fleet.Engines)
+	for i := len(s.Workspaces); i < a.WorkspaceCount; i++ {
+		s.Workspaces = append(s.Workspaces, Workspace{Name: fmt.Sprintf("silent-%d", i), Rate: 1, Burst: 1})
+	}
 	s.Request.Whole = s.Request.Whole || a.Whole
 	if a.Offered > 0 {
 		s.scale(a.Offered)
--- a/load/profiles.go
+++ b/load/profiles.go
@@ -79,6 +79,12 @@
 	s.Batch = &BatchJob{Workspace: s.Workspaces[batchOwner].Name, Items: batchItems, Tokens: profileTokens}
 }
 
+func offerNothing(s *Scenario) {
+	for i := range s.Workspaces {
+		s.Workspaces[i].Offered = 0
+	}
+}
+
 // variants changes a scenario by name.
 var variants = map[string]func(*Scenario){
 	"burst":  func(*Scenario) {},
@@ -86,10 +92,9 @@
 	"batch":  addBatch,
 	"batch-alone": func(s *Scenario) {
 		addBatch(s)
-		for i := range s.Workspaces {
-			s.Workspaces[i].Offered = 0
-		}
+		offerNothing(s)
 	},
+	"idle": offerNothing,
 	"over-rate": func(s *Scenario) {
 		s.Workspaces[0].Offered = overRateFactor * s.Workspaces[0].Rate
 	},
--- a/load/table.go
+++ b/load/table.go
@@ -42,7 +42,7 @@
 		fmt.Fprintf(w, "batch: %d items done, %.1f/s, %d failed\n", r.Batch.Items, r.Batch.PerSecond, r.Batch.Failed)
 	}
 	for _, u := range r.Usage {
-		fmt.Fprintf(w, "%d x %s: %.3f cores and at most %.1f MB each\n", u.Processes, u.Program, u.Cores, u.ResidentMB)
+		fmt.Fprintf(w, "%d x %s: %.4f cores, at most %.1f MB and %.0f bytes/s each\n", u.Processes, u.Program, u.Cores, u.ResidentMB, u.BytesPerSecond)
 	}
 	for _, note := range r.Notes {
 		fmt.Fprintf(w, "at %s\n", note)
--- a/load/usage.go
+++ b/load/usage.go
@@ -18,6 +18,8 @@
 	Cores float64 `json:"cores"`
 	// ResidentMB is the largest resident memory of one process at the end.
 	ResidentMB float64 `json:"resident_mb"`
+	// BytesPerSecond is the mean number of bytes that one process read and wrote.
+	BytesPerSecond float64 `json:"bytes_per_second"`
 }
 
 const bytesPerMB = 1 << 20
@@ -44,12 +46,14 @@
 		}
 		s.Processes++
 		s.Cores += (last.CPU - start.CPU).Seconds() / elapsed.Seconds()
+		s.BytesPerSecond += float64(last.Transferred-start.Transferred) / elapsed.Seconds()
 		s.ResidentMB = max(s.ResidentMB, float64(last.Resident)/bytesPerMB)
 	}
 	var list []UsageSummary
 	for _, program := range slices.Sorted(maps.Keys(byProgram)) {
 		s := byProgram[program]
 		s.Cores /= float64(s.Processes)
+		s.BytesPerSecond /= float64(s.Processes)
 		list = append(list, *s)
 	}
 	return list
