--- a/load/capacity_bench_test.go
+++ b/load/capacity_bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/policy/burn"
 	"github.com/baobablanding/baobablanding/policy/route"
 )
@@ -172,12 +173,42 @@
 	})
 }
 
-// heapInUse returns the heap that is reachable. What pools hold goes with the
+// BenchmarkLinks reports the memory that the connections with one other process
+// hold, on both sides together.
+func BenchmarkLinks(b *testing.B) {
+	const processes = 200
+	var addresses []string
+	for range processes {
+		server, err := peer.Listen("127.0.0.1:0", nil, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer server.Close()
+		addresses = append(addresses, server.Addr())
+	}
+	for b.Loop() {
+		before := heapInUse()
+		up := make(chan peer.LinkEvent, processes)
+		pool := peer.NewPool(nil, func(e peer.LinkEvent) {
+			if e.Up {
+				up <- e
+			}
+		})
+		pool.SetAddresses(addresses)
+		for range processes {
+			<-up
+		}
+		b.ReportMetric(float64(heapInUse()-before)/processes, "bytes/link")
+		pool.Close()
+	}
+}
+
+// heapInUse returns the heap and stacks that are reachable. What pools hold goes with the
 // second collection.
 func heapInUse() int64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
+	return int64(m.HeapAlloc + m.StackInuse)
 }
