Wait for a gateway that was not heard of yet

Cause: a member that was never heard has a zero time of last contact, which reads as silent for longer than twice the isolation bound, so it counted as isolated. Ruled out: a lost notice (the other gateway had the version 0.3 s later). A member now counts as isolated only when it has been listed that long too.

--- a/blackboard/members.go
+++ b/blackboard/members.go
@@ -18,6 +18,8 @@
 	Name string
 	// Address is the gateway's peer address.
 	Address string
+	// Listed is when the inventory was first seen to list the gateway.
+	Listed time.Time
 	// Connected tells whether the gateway is reached.
 	Connected bool
 	// Refused tells that the gateway's host refuses connections: no process of
--- a/controller/membership/membership.go
+++ b/controller/membership/membership.go
@@ -116,7 +116,7 @@
 		}
 		m := c.members[g.Name]
 		if m.Address != g.Peer {
-			m = blackboard.Member{Name: g.Name, Address: g.Peer}
+			m = blackboard.Member{Name: g.Name, Address: g.Peer, Listed: time.Now()}
 			c.members[g.Name] = m
 		}
 		others = append(others, m)
--- a/gateway/inforce.go
+++ b/gateway/inforce.go
@@ -110,7 +110,7 @@
 	switch {
 	case m.Refused:
 		return Dead
-	case time.Since(m.Heard) > 2*isolation:
+	case !m.Listed.IsZero() && time.Since(m.Listed) > 2*isolation && time.Since(m.Heard) > 2*isolation:
 		return Isolated
 	default:
 		return Waiting
