Queue online requests fairly at the agent and preempt batch

Need: the agent refused whatever did not fit its slots, so one busy workspace could keep the others out, and batch items could hold slots that online requests waited for. Nothing bounded an upstream that turned cold between two probes, and a VM on the platform's leaving list still got work.

What is new: - agent/admission.go: one atomic word per upstream (used slots, waiting requests). An online request takes a slot by one compare-and-swap while nothing waits; otherwise it waits in a queue bounded by online_queue and online_wait, served weighted-fair by workspace (policy/queue). A full queue gives up the newest request of the workspace with the most of them. - Batch is admitted only beside a free slot and never queued. An online request that finds none ends the newest batch request (Preempted) and takes its slot. - policy/ramp: an upstream's limit starts at cold_slots and grows by one for each request that began since the last cold start and was answered. Lost connections, refused dials, 503 answers and three first tokens in a row at eight times the usual latency begin it anew. - controller/vmlist reads the VM list each second; controller/engines joins it with probes (now 50 ms apart, all upstreams at once) and the data centres that are taken out. Only engines need a /health page. - agent.Idle and agent.Changed for the batch dispatcher.

Ruled out: a FIFO with a bound for each workspace (needs a bound that fits every mix); deficit round robin (order within a round depends on arrival).

Each mechanism off, then on (go test -run NAME ./agent): - fair order off: "0 of the first 40 served came from the quiet workspace, want half"; on: ok - eviction by length off: "refused quie[t], want the busy workspace"; on: ok - preemption off: "the online request did not get the slot of a batch request: deadline_exceeded"; on: ok - ending batch on a cold upstream off: "0 batch requests were ended, want 2" - refusing the queue of a leaving upstream off: "refused with queue_timeout" - go test -race -count=3 ./agent: ok - go test -run xxx -bench . ./agent: admission and release 316 ns/op, 1 alloc (10 threads on one upstream)

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -15,11 +17,13 @@
 
 // Agent is the only way to the upstreams of one VM.
 type Agent struct {
-	board   *blackboard.Board
-	forward *forwarder
-	running sync.Map // RunRequest.ID to context.CancelFunc
-	active  inFlight
-	metrics *Metrics
+	board      *blackboard.Board
+	forward    *forwarder
+	running    sync.Map // RunRequest.ID to context.CancelCauseFunc
+	admissions sync.Map // upstream name to *admission
+	active     inFlight
+	changed    atomic.Pointer[chan struct{}]
+	metrics    *Metrics
 }
 
 // New returns an Agent that works by the state on the board.
@@ -33,47 +37,109 @@
 func (a *Agent) Run(ctx context.Context, req *peer.RunRequest, sink func(peer.Chunk) error) (*peer.RunResponse, error) {
 	a.active.enter()
 	defer a.active.leave()
-	up, err := a.admit(req)
-	if err != nil {
-		a.metrics.refused.WithLabelValues(result.CodeOf(err).String()).Inc()
-		return nil, err
-	}
-	defer a.release(up)
-	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
-	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, req.Timeout)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if _, loaded := a.running.LoadOrStore(req.ID, cancel); loaded {
 		return nil, result.New(result.DuplicateRequest, result.NotRun)
 	}
 	defer a.running.Delete(req.ID)
-	resp, err := a.forward.run(ctx, up.Spec, req, sink)
-	a.metrics.forwarded.WithLabelValues(req.Class.String()).Inc()
+	g, err := a.admit(ctx, req, cancel)
 	if err != nil {
+		a.metrics.refused.WithLabelValues(result.CodeOf(err).String()).Inc()
 		return nil, err
 	}
-	resp.Report = Report(up)
+	resp, err := a.send(ctx, req, g, sink)
+	a.settle(g, err)
+	if err != nil {
+		return nil, err
+	}
+	resp.Report = a.report(g.admission)
 	return resp, nil
 }
 
 // admit reserves a slot of the request's upstream.
-func (a *Agent) admit(req *peer.RunRequest) (*blackboard.Upstream, error) {
+func (a *Agent) admit(ctx context.Context, req *peer.RunRequest, cancel context.CancelCauseFunc) (*grant, error) {
 	if a.board.Phase.Value() != blackboard.Serving {
 		return nil, result.New(result.Draining, result.NotRun)
 	}
-	up := a.board.Upstreams.Value().ByName(req.Upstream)
-	if up == nil {
+	if a.board.Upstreams.Value().ByName(req.Upstream) == nil {
 		return nil, result.Errorf(result.UnknownUpstream, "upstream %q is not served here", req.Upstream)
 	}
-	if err := checkState(up); err != nil {
+	return a.admission(req.Upstream).acquire(ctx, req, cancel)
+}
+
+// admission returns the admission of the upstream. Upstreams come from the
+// configuration, so their number is bounded.
+func (a *Agent) admission(upstream string) *admission {
+	if v, ok := a.admissions.Load(upstream); ok {
+		return v.(*admission)
+	}
+	v, _ := a.admissions.LoadOrStore(upstream, newAdmission(a.board, upstream, a.metrics, a.wake))
+	return v.(*admission)
+}
+
+// send forwards a request that holds a slot.
+func (a *Agent) send(ctx context.Context, req *peer.RunRequest, g *grant, sink func(peer.Chunk) error) (*peer.RunResponse, error) {
+	up, err := g.admission.current()
+	if err != nil {
 		return nil, err
 	}
-	if up.Load.InFlight.Add(1) > int64(Limit(up)) {
-		up.Load.InFlight.Add(-1)
-		return nil, result.New(result.QueueFull, result.NotRun).After(time.Second)
+	a.metrics.forwarded.WithLabelValues(req.Class.String()).Inc()
+	return a.forward.run(ctx, up.Spec, req, a.timed(g, req, sink))
+}
+
+// timed returns a sink that also notes the time to the first token.
+func (a *Agent) timed(g *grant, req *peer.RunRequest, sink func(peer.Chunk) error) func(peer.Chunk) error {
+	if !req.Stream {
+		return sink
+	}
+	return func(c peer.Chunk) error {
+		if c.Seq == 0 && g.admission.meter.FirstToken(time.Since(g.began)) {
+			g.admission.turnedCold(g)
+		}
+		return sink(c)
 	}
-	return up, nil
 }
 
-func (a *Agent) release(up *blackboard.Upstream) { up.Load.InFlight.Add(-1) }
+// cancelGrace is how long a recovering upstream may go on with a request after
+// its connection was closed.
+const cancelGrace = 200 * time.Millisecond
+
+// settle learns from the outcome and gives the slot back.
+func (a *Agent) settle(g *grant, err error) {
+	d := g.admission
+	var failed *result.Error
+	switch {
+	case err == nil:
+		d.answered(g)
+	case errors.As(err, &failed) && signOfColdStart(failed):
+		d.turnedCold(g)
+	}
+	if err != nil && failed != nil && failed.Verdict == result.MayHaveRun && d.recovering() {
+		time.AfterFunc(cancelGrace, func() { d.release(g) })
+		return
+	}
+	d.release(g)
+}
+
+// signOfColdStart tells whether a failure shows that the upstream was restarted
+// or has more work than it bears.
+func signOfColdStart(e *result.Error) bool {
+	switch e.Code {
+	case result.UpstreamUnreachable, result.UpstreamOverloaded, result.AnswerIncomplete:
+		return true
+	default:
+		return false
+	}
+}
+
+// recovering tells whether the upstream gets less than its full load.
+func (d *admission) recovering() bool {
+	up, err := d.current()
+	return err != nil || d.limit(up) < up.Spec.Slots
+}
 
 func checkState(up *blackboard.Upstream) error {
 	switch {
@@ -88,28 +154,79 @@
 	}
 }
 
-// Limit returns the number of requests that the upstream gets at once.
-func Limit(up *blackboard.Upstream) int {
-	if up.State == fleet.Cold {
-		return up.Spec.ColdSlots
+// Reports returns the load of every upstream.
+func (a *Agent) Reports() []peer.Report {
+	all := a.board.Upstreams.Value().All
+	reports := make([]peer.Report, 0, len(all))
+	for _, up := range all {
+		reports = append(reports, a.report(a.admission(up.Spec.Name)))
+	}
+	return reports
+}
+
+func (a *Agent) report(d *admission) peer.Report {
+	s := d.slots.Load()
+	r := peer.Report{Upstream: d.upstream, InFlight: used(s), Queued: waiting(s)}
+	if up := a.board.Upstreams.Value().ByName(d.upstream); up != nil {
+		r.State = up.State
+		r.Limit = d.limit(up)
+	}
+	return r
+}
+
+// Idle returns the number of batch requests that the upstream can take now.
+func (a *Agent) Idle(upstream string) int {
+	if a.board.Phase.Value() != blackboard.Serving || a.board.Upstreams.Value().ByName(upstream) == nil {
+		return 0
+	}
+	return a.admission(upstream).idle()
+}
+
+// Changed returns a channel that is closed when Idle may have grown. Take the
+// channel before asking Idle.
+func (a *Agent) Changed() <-chan struct{} {
+	for {
+		if ch := a.changed.Load(); ch != nil {
+			return *ch
+		}
+		ch := make(chan struct{})
+		if a.changed.CompareAndSwap(nil, &ch) {
+			return ch
+		}
+	}
+}
+
+// wake tells those who wait that a slot became free.
+func (a *Agent) wake() {
+	if a.changed.Load() == nil {
+		return
+	}
+	if ch := a.changed.Swap(nil); ch != nil {
+		close(*ch)
 	}
-	return up.Spec.Slots
 }
 
-// Report returns the load of the upstream.
-func Report(up *blackboard.Upstream) peer.Report {
-	return peer.Report{
-		Upstream: up.Spec.Name,
-		State:    up.State,
-		InFlight: int(up.Load.InFlight.Load()),
-		Limit:    Limit(up),
+// Follow applies changes of the upstreams' states to the requests that wait or
+// run, until ctx ends.
+func (a *Agent) Follow(ctx context.Context) {
+	for {
+		snap := a.board.Upstreams.Load()
+		for _, up := range snap.Value.All {
+			a.admission(up.Spec.Name).refresh()
+		}
+		a.wake()
+		select {
+		case <-snap.Changed():
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-// Cancel ends a running request.
+// Cancel ends a waiting or running request.
 func (a *Agent) Cancel(id string) {
 	if cancel, ok := a.running.Load(id); ok {
-		cancel.(context.CancelFunc)()
+		cancel.(context.CancelCauseFunc)(nil)
 	}
 }
 
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -62,16 +63,28 @@
 		ContentType: resp.Header.Get("Content-Type"),
 	}
 	if req.Stream && resp.StatusCode == http.StatusOK {
-		return out, stream(ctx, up, resp, out, sink)
+		return out, stream(ctx, resp, out, sink)
 	}
-	out.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	out.Body, err = readBody(ctx, up, resp)
+	if err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// readBody returns the whole content of an answer that is not streamed.
+func readBody(ctx context.Context, up *fleet.Upstream, resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
 	if err != nil {
 		return nil, readError(ctx, err)
 	}
-	if len(out.Body) > maxAnswer {
+	if len(body) > maxAnswer {
 		return nil, &result.Error{Code: result.UpstreamFailed, Detail: "the answer is too large", Verdict: result.Answered}
 	}
-	return out, nil
+	if up.Kind == fleet.Engine && resp.StatusCode == http.StatusOK && !json.Valid(body) {
+		return nil, result.New(result.AnswerIncomplete, result.MayHaveRun)
+	}
+	return body, nil
 }
 
 func (f *forwarder) send(ctx context.Context, up *fleet.Upstream, req *peer.RunRequest) (*http.Response, error) {
@@ -104,27 +117,46 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return result.Errorf(result.UpstreamUnreachable, "dial upstream: %v", op.Err)
 	}
-	return readError(ctx, err)
+	if ctx.Err() != nil {
+		return cancelled(ctx, result.MayHaveRun)
+	}
+	return &result.Error{Code: result.OutcomeUnknown, Detail: err.Error(), Verdict: result.MayHaveRun}
 }
 
 // readError classifies an error that came after the request was sent.
 func readError(ctx context.Context, err error) error {
-	switch ctx.Err() {
-	case context.DeadlineExceeded:
-		return result.New(result.DeadlineExceeded, result.MayHaveRun)
-	case context.Canceled:
-		return result.New(result.CallerGone, result.MayHaveRun)
+	if ctx.Err() != nil {
+		return cancelled(ctx, result.MayHaveRun)
 	}
 	return &result.Error{Code: result.AnswerIncomplete, Detail: err.Error(), Verdict: result.MayHaveRun}
 }
 
+// cancelled returns why ctx ended, with the verdict on the request.
+func cancelled(ctx context.Context, verdict result.Verdict) *result.Error {
+	var typed *result.Error
+	switch cause := context.Cause(ctx); {
+	case errors.As(cause, &typed):
+		return &result.Error{Code: typed.Code, Detail: typed.Detail, Verdict: verdict}
+	case errors.Is(cause, context.DeadlineExceeded):
+		return result.New(result.DeadlineExceeded, verdict)
+	default:
+		return result.New(result.CallerGone, verdict)
+	}
+}
+
 // checkAnswer refuses an answer that belongs to another request and an engine's
 // failure.
 func checkAnswer(up *fleet.Upstream, req *peer.RunRequest, resp *http.Response) error {
 	if id := resp.Header.Get(RequestIDHeader); id != "" && id != req.ID {
-		return &result.Error{Code: result.AnswerIncomplete, Detail: "the answer belongs to another request", Verdict: result.MayHaveRun}
+		return &result.Error{Code: result.UpstreamFailed, Detail: "the answer belongs to another request", Verdict: result.MayHaveRun}
 	}
-	if up.Kind == fleet.Engine && resp.StatusCode >= http.StatusInternalServerError {
+	if up.Kind != fleet.Engine {
+		return nil
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return result.New(result.UpstreamOverloaded, result.MayHaveRun)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
 		return &result.Error{
 			Code:    result.UpstreamFailed,
 			Detail:  fmt.Sprintf("engine answered with status %d", resp.StatusCode),
@@ -136,7 +168,7 @@
 
 // stream passes the answer on as it arrives and checks that it ends as a whole
 // stream does.
-func stream(ctx context.Context, up *fleet.Upstream, resp *http.Response, out *peer.RunResponse, sink func(peer.Chunk) error) error {
+func stream(ctx context.Context, resp *http.Response, out *peer.RunResponse, sink func(peer.Chunk) error) error {
 	buf := make([]byte, chunkBuffer)
 	var tail []byte
 	for {
@@ -154,12 +186,19 @@
 			return readError(ctx, err)
 		}
 	}
-	if up.Kind == fleet.Engine && !bytes.Contains(tail, streamEnd) {
+	if !endsWhole(tail) {
 		return result.New(result.AnswerIncomplete, result.MayHaveRun)
 	}
 	return nil
 }
 
+// endsWhole tells whether the last line of a stream is the event that ends it.
+func endsWhole(tail []byte) bool {
+	tail = bytes.TrimRight(tail, "\r\n")
+	start := bytes.LastIndexByte(tail, '\n') + 1
+	return bytes.Equal(tail[start:], streamEnd)
+}
+
 func emit(out *peer.RunResponse, data []byte, sink func(peer.Chunk) error) error {
 	c := peer.Chunk{ID: out.ID, Seq: out.Chunks, Data: data}
 	if c.Seq == 0 {
--- a/agent/probe.go
+++ b/agent/probe.go
@@ -27,7 +27,8 @@
 func NewProber() *Prober { return &Prober{http: httpserve.NewClient("probe")} }
 
 // Probe returns the state that the upstream reports, or Down if it does not
-// answer.
+// answer. Only engines report a state; of any other upstream an answer is
+// enough.
 func (p *Prober) Probe(ctx context.Context, up *fleet.Upstream) fleet.UpstreamState {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, up.URL+HealthPath, http.NoBody)
 	if err != nil {
@@ -38,6 +39,9 @@
 		return fleet.Down
 	}
 	defer resp.Body.Close()
+	if up.Kind != fleet.Engine {
+		return fleet.Ready
+	}
 	var h Health
 	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&h) != nil {
 		return fleet.Down
--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -11,6 +11,8 @@
 	Phase Section[Phase]
 	// Upstreams is the set of upstreams and what is known of each.
 	Upstreams Section[*Upstreams]
+	// VMs is the platform's VM list.
+	VMs Section[VMs]
 	// Members is what a gateway knows of the other gateways.
 	Members Section[*Members]
 	// Limits holds a rate limiter for each workspace.
--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -51,6 +51,9 @@
 	Agent string
 	// State is the state that the agent reported last.
 	State fleet.UpstreamState
+	// ColdStarts counts how often the upstream began to take work, or turned
+	// cold, since this process started.
+	ColdStarts int64
 	// Out tells that the upstream's data centre is taken out.
 	Out bool
 	// Connected tells whether the agent is reached.
--- a/controller/engines/engines.go
+++ b/controller/engines/engines.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -13,7 +14,7 @@
 )
 
 const (
-	probeInterval = 200 * time.Millisecond
+	probeInterval = 50 * time.Millisecond
 	probeTimeout  = time.Second
 )
 
@@ -23,15 +24,16 @@
 	Probe(ctx context.Context, up *fleet.Upstream) fleet.UpstreamState
 }
 
-// Controller probes the upstreams of one VM. It writes Board.Upstreams of the
-// agent.
+// Controller probes the upstreams of one VM and joins the result with the VM
+// list and the data centres that are taken out. It writes Board.Upstreams of
+// the agent.
 type Controller struct {
 	board  *blackboard.Board
 	prober Prober
 	vm     string
 	log    *log.Logger
-	loads  map[string]*blackboard.Load
-	states map[string]fleet.UpstreamState
+	probed map[string]fleet.UpstreamState
+	known  map[string]*blackboard.Upstream
 }
 
 // New returns a Controller for the upstreams of the VM.
@@ -41,8 +43,8 @@
 		prober: prober,
 		vm:     vm,
 		log:    logger,
-		loads:  make(map[string]*blackboard.Load),
-		states: make(map[string]fleet.UpstreamState),
+		probed: make(map[string]fleet.UpstreamState),
+		known:  make(map[string]*blackboard.Upstream),
 	}
 }
 
@@ -51,48 +53,96 @@
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for {
-		snap := c.board.Config.Load()
-		if view := snap.Value.View; view != nil {
-			c.probeAll(ctx, view)
+		config, vms := c.board.Config.Load(), c.board.VMs.Load()
+		if view := config.Value.View; view != nil {
+			c.publish(view, vms.Value)
+			c.probe(ctx, c.specs(view))
+			c.publish(view, vms.Value)
 		}
 		select {
 		case <-ticker.C:
-		case <-snap.Changed():
+		case <-config.Changed():
+		case <-vms.Changed():
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// probeAll probes the VM's upstreams and publishes them if anything changed.
-func (c *Controller) probeAll(ctx context.Context, view *fleet.View) {
-	var all []*blackboard.Upstream
-	for i := range view.Inventory.Upstreams {
-		spec := &view.Inventory.Upstreams[i]
-		if spec.VM == c.vm {
-			all = append(all, c.probe(ctx, view, spec))
+// publish joins what is known of the VM's upstreams and publishes it if anything
+// changed.
+func (c *Controller) publish(view *fleet.View, vms blackboard.VMs) {
+	dataCentre := c.dataCentre(view)
+	all := []*blackboard.Upstream{}
+	for _, spec := range c.specs(view) {
+		state := c.probed[spec.Name]
+		if vms.Leaving[c.vm] {
+			state = fleet.Leaving
 		}
+		all = append(all, c.describe(spec, state, view.IsOut(dataCentre), dataCentre))
 	}
 	if !sameUpstreams(c.board.Upstreams.Value().All, all) {
 		c.board.Upstreams.Publish(blackboard.NewUpstreams(all))
 	}
 }
 
-func (c *Controller) probe(ctx context.Context, view *fleet.View, spec *fleet.Upstream) *blackboard.Upstream {
+func (c *Controller) specs(view *fleet.View) []*fleet.Upstream {
+	var specs []*fleet.Upstream
+	for i := range view.Inventory.Upstreams {
+		if spec := &view.Inventory.Upstreams[i]; spec.VM == c.vm {
+			specs = append(specs, spec)
+		}
+	}
+	return specs
+}
+
+func (c *Controller) dataCentre(view *fleet.View) string {
+	if vm := view.VM(c.vm); vm != nil {
+		return vm.DataCentre
+	}
+	return ""
+}
+
+// probe asks all upstreams at once, so that one that hangs does not delay the
+// others by more than its timeout.
+func (c *Controller) probe(ctx context.Context, specs []*fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	state := c.prober.Probe(ctx, spec)
-	if old := c.states[spec.Name]; old != state {
-		c.states[spec.Name] = state
-		c.log.Info().Str("upstream", spec.Name).Stringer("from", old).Stringer("to", state).Msg("upstream state")
+	states := make([]fleet.UpstreamState, len(specs))
+	var wg sync.WaitGroup
+	for i, spec := range specs {
+		wg.Go(func() { states[i] = c.prober.Probe(ctx, spec) })
+	}
+	wg.Wait()
+	for i, spec := range specs {
+		c.probed[spec.Name] = states[i]
+	}
+}
+
+// describe returns the upstream as it is now. Each time the upstream begins to
+// take work or changes between cold and ready counts as a cold start.
+func (c *Controller) describe(spec *fleet.Upstream, state fleet.UpstreamState, out bool, dataCentre string) *blackboard.Upstream {
+	old := c.known[spec.Name]
+	if old == nil {
+		old = &blackboard.Upstream{Load: new(blackboard.Load)}
+	}
+	up := &blackboard.Upstream{
+		Spec:       spec,
+		DataCentre: dataCentre,
+		State:      state,
+		Out:        out,
+		Connected:  true,
+		ColdStarts: old.ColdStarts,
+		Load:       old.Load,
+	}
+	if up.Usable() && (up.State != old.State || up.Out != old.Out) {
+		up.ColdStarts++
 	}
-	load := c.loads[spec.Name]
-	if load == nil {
-		load = new(blackboard.Load)
-		c.loads[spec.Name] = load
+	if up.State != old.State {
+		c.log.Info().Str("upstream", spec.Name).Stringer("from", old.State).Stringer("to", state).Msg("upstream state")
 	}
-	dc := view.DataCentreOf(spec)
-	return &blackboard.Upstream{Spec: spec, DataCentre: dc, State: state, Out: view.IsOut(dc), Connected: true, Load: load}
+	c.known[spec.Name] = up
+	return up
 }
 
 func sameUpstreams(a, b []*blackboard.Upstream) bool {
@@ -100,7 +150,7 @@
 		return false
 	}
 	for i := range a {
-		if a[i].Spec != b[i].Spec || a[i].State != b[i].State || a[i].Out != b[i].Out {
+		if a[i].Spec != b[i].Spec || a[i].State != b[i].State || a[i].Out != b[i].Out || a[i].ColdStarts != b[i].ColdStarts {
 			return false
 		}
 	}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -14,6 +14,7 @@
 	"github.com/baobablanding/baobablanding/controller/configsync"
 	"github.com/baobablanding/baobablanding/controller/dispatch"
 	"github.com/baobablanding/baobablanding/controller/engines"
+	"github.com/baobablanding/baobablanding/controller/vmlist"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/platform"
@@ -60,8 +61,11 @@
 	}
 	a.board.Phase.Publish(blackboard.Serving)
 	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), logger).Run)
+	vms := platform.NewVMs(settings.Platform.VMs, settings.Platform.Timeout)
+	a.controllers.run(vmlist.New(a.board, vms, logger).Run)
 	a.controllers.run(engines.New(a.board, agent.NewProber(), a.vm, logger).Run)
 	a.controllers.run(dispatch.New(a.board, batch.NewStore(table, objects), a.agent, a.vm, logger).Run)
+	a.controllers.run(a.agent.Follow)
 	a.controllers.run(a.announce)
 	return nil
 }
@@ -94,9 +98,7 @@
 	if view := a.board.Config.Value().View; view != nil {
 		s.ConfigVersion = view.Version
 	}
-	for _, up := range a.board.Upstreams.Value().All {
-		s.Reports = append(s.Reports, agent.Report(up))
-	}
+	s.Reports = a.agent.Reports()
 	return s
 }
 
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -38,7 +38,7 @@
 	switch c {
 	case result.UpstreamUnreachable, result.UpstreamCold, result.UpstreamLeaving,
 		result.DataCentreOut, result.UpstreamFailed, result.AnswerIncomplete,
-		result.OutcomeUnknown, result.Draining, result.QueueFull,
+		result.OutcomeUnknown, result.UpstreamOverloaded, result.Draining, result.QueueFull,
 		result.QueueTimeout, result.UnknownUpstream:
 		return true
 	default:
--- a/result/code.go
+++ b/result/code.go
@@ -52,6 +52,7 @@
 	DuplicateRequest    Code = 3013
 	UnknownUpstream     Code = 3014
 	FencedOrder         Code = 3015
+	UpstreamOverloaded  Code = 3016
 )
 
 // Codes 4xxx report on batch jobs and files.
@@ -131,6 +132,7 @@
 	RetryBudgetEmpty:    {"retry_budget_empty", http.StatusServiceUnavailable, "the retry budget of the route is used up"},
 	DuplicateRequest:    {"duplicate_request", http.StatusConflict, "a request with this id was already received"},
 	UnknownUpstream:     {"unknown_upstream", http.StatusNotFound, "the upstream is not served here"},
+	UpstreamOverloaded:  {"upstream_overloaded", http.StatusServiceUnavailable, "the upstream refused the request as too much"},
 	FencedOrder:         {"fenced_order", http.StatusConflict, "a newer holder gave orders to this engine"},
 
 	UnknownFile:    {"unknown_file", http.StatusNotFound, "the file does not exist"},
