--- a/fleettest/call.go
+++ b/fleettest/call.go
@@ -38,3 +38,7 @@
 	}
 	return resp.StatusCode, string(data)
 }
+
+// IsWholeStream tells whether the body of a streamed answer ends as a whole
+// stream does.
+func IsWholeStream(body string) bool { return strings.HasSuffix(body, "data: [DONE]\n\n") }
