Let the silent cold start last longer than its test's patience

The test passed also with the probe's cold state ignored, because 24 answers warmed the engine up within the 250 ms that it bears too much. It now takes 200. Probe's cold state ignored: 'engine 1 fell over 1 times'; heeded: ok (go test -count=5 -run Silently ./fleettest).

--- a/fleettest/upstreams_test.go
+++ b/fleettest/upstreams_test.go
@@ -100,7 +100,9 @@
 // too much for longer than one interval between probes, since nothing else
 // tells that it turned cold.
 func TestEngineThatTurnsColdSilentlyIsBoundedAtTheNextProbe(t *testing.T) {
-	f := fleettest.Start(t, fleettest.Options{Engine: coldEngine(250 * time.Millisecond)})
+	o := coldEngine(250 * time.Millisecond)
+	o.ColdWork = 200
+	f := fleettest.Start(t, fleettest.Options{Engine: o})
 	l := startLoad(f, 24, false)
 	f.Eventually("the engine is full", func() bool { return f.Engines[0].Running() == 8 })
 	f.Engines[0].SetCold(true)
