--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
@@ -15,6 +16,7 @@
 	"github.com/baobablanding/baobablanding/controller/dispatch"
 	"github.com/baobablanding/baobablanding/controller/engines"
 	"github.com/baobablanding/baobablanding/controller/vmlist"
+	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/platform"
@@ -56,11 +58,11 @@
 	if a.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
 		return err
 	}
-	if a.peers, err = peer.Listen(settings.Peer, a.agent.Handlers(), a.greet); err != nil {
+	if a.peers, err = peer.Listen(settings.Peer, a.handlers(), a.greet); err != nil {
 		return err
 	}
 	a.board.Phase.Publish(blackboard.Serving)
-	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), logger).Run)
+	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), a, logger).Run)
 	vms := platform.NewVMs(settings.Platform.VMs, settings.Platform.Timeout)
 	a.controllers.run(vmlist.New(a.board, vms, logger).Run)
 	a.controllers.run(engines.New(a.board, agent.NewProber(), a.vm, logger).Run)
@@ -70,6 +72,25 @@
 	return nil
 }
 
+// handlers returns the handlers of what gateways send.
+func (a *Agent) handlers() peer.Handlers {
+	handlers := a.agent.Handlers()
+	handlers[peer.MethodConfig] = peer.ServeConfig(a.board)
+	handlers[peer.MethodVersion] = func(_ context.Context, _ *peer.Session, params json.RawMessage) (any, error) {
+		v, err := peer.Decode[peer.Version](params)
+		if err == nil {
+			a.board.Notice(v.ConfigVersion)
+		}
+		return nil, err
+	}
+	return handlers
+}
+
+// Fetch implements configsync.Peers: it asks the gateways that are connected.
+func (a *Agent) Fetch(ctx context.Context, have fleet.Head) (configstore.Bundle, bool) {
+	return peer.FetchConfig(ctx, a.peers.Askers(), have)
+}
+
 // greet tells a new connection the state of the upstreams.
 func (a *Agent) greet(s *peer.Session) {
 	_ = s.Notify(context.Background(), peer.MethodStatus, a.status())
