--- a/fleettest/config_test.go
+++ b/fleettest/config_test.go
@@ -14,8 +14,8 @@
 // inForceBound is how soon an accepted change must be in force everywhere.
 const inForceBound = 3 * time.Second
 
-// takeOut returns an edit that takes a data centre out.
-func takeOut(dataCentre string) func(fleet.State) (fleet.State, error) {
+// takeOutDataCentre returns an edit that takes a data centre out.
+func takeOutDataCentre(dataCentre string) func(fleet.State) (fleet.State, error) {
 	return func(s fleet.State) (fleet.State, error) {
 		s.Out = append(s.Out, dataCentre)
 		return s, nil
@@ -27,7 +27,7 @@
 	f.Relays["gateway-2"].Cut()
 	f.Relays["gateway-3"].Cut()
 	started := time.Now()
-	f.WaitVersion(f.Apply(takeOut("dc-1")))
+	f.WaitVersion(f.Apply(takeOutDataCentre("dc-1")))
 	if took := time.Since(started); took > inForceBound {
 		t.Errorf("in force everywhere after %s, bound %s", took, inForceBound)
 	}
@@ -35,7 +35,7 @@
 
 func TestGatewayStartsDuringAnOutageFromItsPeers(t *testing.T) {
 	f := fleettest.Start(t, fleettest.Options{Gateways: 3})
-	version := f.Apply(takeOut("dc-none"))
+	version := f.Apply(takeOutDataCentre("dc-none"))
 	f.WaitVersion(version)
 	f.Platform.Set(standin.Faults{Outage: true})
 	f.KillGateway("gateway-1")
