Queue batch chunks by rank, renew claims, fill idle slots

Chunks now hold one model's items and wait in lanes whose keys sort by rank. A claim is one transaction: lane moved, chunk written under the next epoch, lease added, job checked. Leases are records of their own, so that a renewal is one write and leaves the chunk's version alone. The commit checks the chunk's version and the job's in one transaction. The dispatcher owns its state on one goroutine and runs as many items as slots are idle.

Ruled out: a scan of all active jobs (grows with the jobs, 6 MB at 20,000), one index record with all jobs (more than 2 KB/s for each agent), a shared counter of done chunks (every commit of a job would conflict).

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -1,21 +1,31 @@
 package batch
 
 import (
-	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"errors"
-	"io"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/platform"
+	policy "github.com/baobablanding/baobablanding/policy/batch"
 	"github.com/baobablanding/baobablanding/result"
 )
 
+// ResendWindow is how long after a submission without an idempotency key the
+// same submission finds the first job.
+const ResendWindow = 15 * time.Minute
+
+const (
+	acceptTries   = 20
+	readBackTries = 4
+	readBackDelay = 150 * time.Millisecond
+)
+
 // Submission is a request for a new job.
 type Submission struct {
 	// Workspace owns the job.
@@ -32,22 +42,65 @@
 	Metadata map[string]string
 }
 
+// requestRecord finds the job of an earlier submission.
+type requestRecord struct {
+	Job         string    `json:"job"`
+	Fingerprint string    `json:"fingerprint"`
+	Created     time.Time `json:"created"`
+}
+
+// shareRecord holds where the ranks of a workspace's next job start.
+type shareRecord struct {
+	Finish time.Time `json:"finish"`
+}
+
+// acceptance is one run of Accept.
+type acceptance struct {
+	s           *Store
+	sub         Submission
+	fingerprint string
+	requestKey  string
+	job         Job
+	lanes       map[string]*lane
+}
+
 // Accept stores the job and its chunks, and returns the job once it is kept. A
-// submission that was accepted before returns the first job.
+// submission that was accepted before returns the first job: with an
+// idempotency key at any time, without one for ResendWindow if workspace,
+// content of the file, endpoint and metadata are the same.
 func (s *Store) Accept(ctx context.Context, sub Submission, rules fleet.Rules) (Job, error) {
-	if job, found, err := s.earlier(ctx, sub); err != nil || found {
-		return job, err
-	}
 	file, err := s.File(ctx, sub.Workspace.Name, sub.InputFile)
 	if err != nil {
 		return Job{}, err
 	}
-	body, err := s.objects.Get(ctx, fileObject(file.ID))
-	if err != nil {
-		return Job{}, storeError(err)
+	a := newAcceptance(s, sub, &file)
+	if job, _, err := a.earlier(ctx); err != nil || job != nil {
+		return deref(job), err
+	}
+	if err := a.split(ctx, rules); err != nil {
+		s.deleteInputs(&a.job)
+		return Job{}, err
+	}
+	return a.commit(ctx)
+}
+
+func deref(job *Job) Job {
+	if job == nil {
+		return Job{}
 	}
-	defer body.Close()
-	job := Job{
+	return *job
+}
+
+func newAcceptance(s *Store, sub Submission, file *File) *acceptance {
+	a := &acceptance{s: s, sub: sub, lanes: make(map[string]*lane)}
+	a.fingerprint = fingerprint(&sub, file)
+	name := "digest-" + a.fingerprint
+	if sub.IdempotencyKey != "" {
+		sum := sha256.Sum256([]byte(sub.IdempotencyKey))
+		name = "key-" + hex.EncodeToString(sum[:])
+	}
+	a.requestKey = requestKey(sub.Workspace.Name, name)
+	a.job = Job{
 		ID:        jobIDPrefix + uuid.NewString(),
 		Workspace: sub.Workspace.Name,
 		Endpoint:  sub.Endpoint,
@@ -57,129 +110,128 @@
 		State:     Active,
 		Metadata:  sub.Metadata,
 	}
-	split := splitter{ctx: ctx, objects: s.objects, job: &job, rules: rules, workspace: sub.Workspace}
-	if err := split.run(body); err != nil {
-		return Job{}, err
-	}
-	return s.commitJob(ctx, job, sub)
+	return a
 }
 
-// earlier returns the job of an earlier submission with the same key.
-func (s *Store) earlier(ctx context.Context, sub Submission) (Job, bool, error) {
-	if sub.IdempotencyKey == "" {
-		return Job{}, false, nil
-	}
-	var id string
-	_, err := s.get(ctx, requestKey(sub.Workspace.Name, sub.IdempotencyKey), &id)
+// fingerprint identifies what a submission asks for.
+func fingerprint(sub *Submission, file *File) string {
+	data, _ := json.Marshal([]any{sub.Workspace.Name, sub.Endpoint, file.Digest, sub.Metadata})
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// earlier returns the job of an earlier submission, or nil and the version
+// that the record of this submission replaces.
+func (a *acceptance) earlier(ctx context.Context) (*Job, uint64, error) {
+	var r requestRecord
+	version, err := a.s.get(ctx, a.requestKey, &r)
 	if errors.Is(err, platform.ErrNotFound) {
-		return Job{}, false, nil
+		return nil, 0, nil
 	}
 	if err != nil {
-		return Job{}, false, storeError(err)
+		return nil, 0, storeError(err)
 	}
-	job, err := s.Job(ctx, sub.Workspace.Name, id)
-	return job, err == nil, err
-}
-
-// commitJob writes the job's records in one transaction.
-func (s *Store) commitJob(ctx context.Context, job Job, sub Submission) (Job, error) {
-	record, err := putOp(jobKey(job.ID), job, 0)
-	if err != nil {
-		return Job{}, err
+	if r.Fingerprint != a.fingerprint {
+		return nil, 0, result.New(result.IdempotencyChanged, result.NotRun)
+	}
+	if a.sub.IdempotencyKey == "" && time.Since(r.Created) > ResendWindow {
+		return nil, version, nil
 	}
-	active, err := putOp(activeKey(job.ID), job, 0)
+	job, err := a.s.Job(ctx, a.job.Workspace, r.Job)
 	if err != nil {
-		return Job{}, err
+		return nil, 0, err
 	}
-	ops := []platform.Op{record, active}
-	if sub.IdempotencyKey != "" {
-		op, err := putOp(requestKey(job.Workspace, sub.IdempotencyKey), job.ID, 0)
+	return &job, version, nil
+}
+
+// commit writes the job's records in one transaction, unless another
+// submission was faster.
+func (a *acceptance) commit(ctx context.Context) (Job, error) {
+	for range acceptTries {
+		first, version, err := a.earlier(ctx)
+		if err != nil || first != nil {
+			a.s.deleteInputs(&a.job)
+			return deref(first), err
+		}
+		ops, err := a.ops(ctx, version)
 		if err != nil {
 			return Job{}, err
 		}
-		ops = append(ops, op)
-	}
-	if err := s.table.Commit(ctx, ops...); err != nil {
-		return s.readBack(ctx, job, sub, err)
-	}
-	return job, nil
-}
-
-// readBack finds out whether a failed transaction took effect.
-func (s *Store) readBack(ctx context.Context, job Job, sub Submission, cause error) (Job, error) {
-	if kept, err := s.Job(ctx, job.Workspace, job.ID); err == nil {
-		return kept, nil
-	}
-	if first, found, err := s.earlier(ctx, sub); err == nil && found {
-		return first, nil
+		err = a.s.table.Commit(ctx, ops...)
+		switch {
+		case err == nil:
+			return a.job, nil
+		case !errors.Is(err, platform.ErrConflict):
+			return a.readBack(ctx, err)
+		}
 	}
-	return Job{}, storeError(cause)
+	a.s.deleteInputs(&a.job)
+	return Job{}, result.New(result.StoreConflict, result.NotRun)
 }
 
-// splitter cuts a batch file into chunks.
-type splitter struct {
-	ctx       context.Context
-	objects   platform.Objects
-	job       *Job
-	rules     fleet.Rules
-	workspace *fleet.Workspace
-	buf       bytes.Buffer
-	inChunk   int
-	seen      map[string]int
-	models    map[string]bool
+// ops returns the transaction that accepts the job.
+func (a *acceptance) ops(ctx context.Context, requestVersion uint64) ([]platform.Op, error) {
+	var share shareRecord
+	shareVersion, err := a.s.get(ctx, shareKey(a.job.Workspace), &share)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return nil, storeError(err)
+	}
+	a.job.Place = policy.Place(time.Now(), share.Finish, policy.Demand{
+		Items: a.job.Items, Chunks: a.job.Chunks, Rate: a.sub.Workspace.Rate, Due: a.job.Due,
+	})
+	share.Finish = a.job.Place.Finish
+	w := opWriter{}
+	w.put(jobKey(a.job.ID), a.job, 0)
+	w.put(ownerKey(&a.job), a.job.ID, 0)
+	w.put(a.requestKey, requestRecord{Job: a.job.ID, Fingerprint: a.fingerprint, Created: a.job.Created}, requestVersion)
+	w.put(shareKey(a.job.Workspace), share, shareVersion)
+	for model, l := range a.lanes {
+		l.Place = a.job.Place
+		w.put(laneKey(l), l, 0)
+		w.putAny(workKey(model), a.job.ID)
+	}
+	return w.ops, w.err
 }
 
-func (s *splitter) run(body io.Reader) error {
-	s.seen = make(map[string]int)
-	s.models = make(map[string]bool)
-	if err := scanLines(body, s.line); err != nil {
-		return storeError(err)
-	}
-	if s.job.Items == 0 {
-		return result.New(result.EmptyBatch, result.NotRun)
+// readBack finds out whether a transaction without an answer took effect.
+func (a *acceptance) readBack(ctx context.Context, cause error) (Job, error) {
+	for range readBackTries {
+		kept, err := a.s.Job(ctx, a.job.Workspace, a.job.ID)
+		if err == nil {
+			return kept, nil
+		}
+		if result.CodeOf(err) == result.UnknownJob {
+			return Job{}, storeError(cause)
+		}
+		if !pause(ctx, readBackDelay) {
+			break
+		}
 	}
-	s.job.Models = slices.Sorted(maps.Keys(s.models))
-	return s.flush()
+	return Job{}, storeError(cause)
 }
 
-func (s *splitter) line(number int, line []byte) error {
-	item, err := parseItem(number, line, s.job.Endpoint)
-	if err != nil {
-		return err
-	}
-	if first, ok := s.seen[item.CustomID]; ok {
-		return result.Errorf(result.BadBatchLine, "line %d: custom_id %q was used in line %d", number, item.CustomID, first)
+// pause waits for d, or returns false when ctx ends.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	model := item.Model()
-	if !s.workspace.MayUse(model) {
-		return result.Errorf(result.ModelNotAllowed, "line %d: workspace %q may not use model %q", number, s.workspace.Name, model)
-	}
-	s.seen[item.CustomID] = number
-	s.models[model] = true
-	s.job.Items++
-	if s.job.Items > s.rules.MaxItems {
-		return result.Errorf(result.TooManyItems, "the file holds more than %d items", s.rules.MaxItems)
-	}
-	s.buf.Write(line)
-	s.buf.WriteByte('\n')
-	s.inChunk++
-	if s.inChunk == s.rules.ChunkItems {
-		return s.flush()
-	}
-	return nil
 }
 
-// flush stores the collected lines as the next chunk.
-func (s *splitter) flush() error {
-	if s.inChunk == 0 {
-		return nil
-	}
-	err := s.objects.Put(s.ctx, inputObject(s.job.ID, s.job.Chunks), bytes.NewReader(s.buf.Bytes()))
-	if err != nil {
-		return storeError(err)
+const cleanupTimeout = 30 * time.Second
+
+// deleteInputs removes the chunks of a job that was not accepted. What it does
+// not reach is never read.
+func (s *Store) deleteInputs(job *Job) {
+	ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
+	defer cancel()
+	for index := range job.Chunks {
+		if s.objects.Delete(ctx, inputObject(job.ID, index)) != nil {
+			return
+		}
 	}
-	s.job.Chunks++
-	s.inChunk = 0
-	s.buf.Reset()
-	return nil
 }
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -3,8 +3,13 @@
 
 import (
 	"fmt"
+	"math"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
+
+	policy "github.com/baobablanding/baobablanding/policy/batch"
 )
 
 // Endpoint paths that batch items may name.
@@ -20,6 +25,8 @@
 	Name string `json:"name"`
 	// Bytes is the size of the file.
 	Bytes int64 `json:"bytes"`
+	// Digest is the SHA-256 digest of the content, in hex.
+	Digest string `json:"digest"`
 	// Created is when the file was stored.
 	Created time.Time `json:"created"`
 }
@@ -50,6 +57,8 @@
 	Items int `json:"items"`
 	// Chunks is the number of chunks.
 	Chunks int `json:"chunks"`
+	// Place is the job's place in the queue.
+	Place policy.Placement `json:"place"`
 	// Models lists the models that the items name.
 	Models []string `json:"models"`
 	// Created is when the job was accepted.
@@ -60,40 +69,71 @@
 	State JobState `json:"state"`
 	// Ended is when the job was completed or cancelled, or zero.
 	Ended time.Time `json:"ended,omitzero"`
+	// Progress counts the items of a completed job.
+	Progress Progress `json:"progress,omitzero"`
 	// Metadata is the caller's own data.
 	Metadata map[string]string `json:"metadata,omitempty"`
 }
 
-// Chunk is the claim or the result of a part of a job. A chunk without a
-// record was never claimed.
+// Report describes the job's progress.
+func (j *Job) Report(p Progress, now time.Time) policy.Report {
+	counts := policy.Counts{Items: j.Items, Completed: p.Completed, Failed: p.Failed}
+	return policy.NewReport(counts, j.Created, j.Due, now)
+}
+
+// Chunk is the claim or the result of a part of a job. All items of a chunk
+// name the same model.
 type Chunk struct {
 	// Job is the job's ID.
 	Job string `json:"job"`
 	// Index numbers the chunk in its job, starting at 0.
 	Index int `json:"index"`
+	// Model is the model that every item names.
+	Model string `json:"model"`
 	// Epoch counts the claims of the chunk.
 	Epoch int `json:"epoch"`
-	// Holder names the VM that holds the claim.
+	// Holder identifies the process that holds the claim.
 	Holder string `json:"holder"`
-	// Until is when the claim lapses.
-	Until time.Time `json:"until"`
+	// Lapses counts the claims whose holder vanished.
+	Lapses int `json:"lapses,omitempty"`
+	// Marked is the number, starting at 1, of the item that the holder runs
+	// alone, or 0.
+	Marked int `json:"marked,omitempty"`
+	// Deaths counts, by item number starting at 1, the holders that vanished
+	// while they ran the item alone.
+	Deaths map[int]int `json:"deaths,omitempty"`
 	// Done tells that every item of the chunk has its result.
 	Done bool `json:"done"`
-	// Output names the object with the result lines.
-	Output string `json:"output,omitempty"`
-	// Errors names the object with the error lines.
-	Errors string `json:"errors,omitempty"`
+	// Results names the object with the result lines and, after them, the
+	// error lines.
+	Results string `json:"results,omitempty"`
+	// OutputBytes is the size of the result lines.
+	OutputBytes int64 `json:"output_bytes"`
 	// Completed is the number of items that succeeded.
 	Completed int `json:"completed"`
 	// Failed is the number of items that ended in an error line.
 	Failed int `json:"failed"`
 }
 
-// Claim is a claimed chunk.
-type Claim struct {
-	Chunk
-	// Version is the version of the chunk's record.
-	Version uint64
+// lane is the part of a job's chunks that name one model and that nobody has
+// claimed yet. Its key sorts by the rank of its next chunk.
+type lane struct {
+	Job       string           `json:"job"`
+	Workspace string           `json:"workspace"`
+	Model     string           `json:"model"`
+	Due       time.Time        `json:"due"`
+	Place     policy.Placement `json:"place"`
+	Pending   []int            `json:"pending"`
+}
+
+// leaseRecord says which claim a lease belongs to. The key holds when the
+// lease ends.
+type leaseRecord struct {
+	Job   string `json:"job"`
+	Index int    `json:"index"`
+	Epoch int    `json:"epoch"`
+	// Released tells that the holder gave the claim back.
+	Released bool `json:"released,omitempty"`
 }
 
 // Progress counts the items of a job.
@@ -111,32 +151,59 @@
 	jobIDPrefix  = "batch_"
 )
 
+// cancelledKey lists the jobs that were cancelled last.
+const cancelledKey = "batch/signal/cancelled"
+
+// workKey is written when chunks of the model can be claimed.
+func workKey(model string) string { return "batch/signal/work/" + url.PathEscape(model) }
+
 func fileKey(id string) string { return "batch/file/" + id }
 
 func jobKey(id string) string { return "batch/job/" + id }
 
-func jobPrefix() string { return "batch/job/" }
+func ownerPrefix(workspace string) string { return "batch/owner/" + url.PathEscape(workspace) + "/" }
 
-func activeKey(id string) string { return activePrefix + id }
+// ownerKey sorts a workspace's jobs by their creation, the newest first.
+func ownerKey(j *Job) string {
+	return fmt.Sprintf("%s%016x/%s", ownerPrefix(j.Workspace), math.MaxInt64-j.Created.UnixMicro(), j.ID)
+}
 
-const activePrefix = "batch/active/"
+func shareKey(workspace string) string { return "batch/share/" + url.PathEscape(workspace) }
 
-func requestKey(workspace, key string) string { return "batch/request/" + workspace + "/" + key }
+func requestKey(workspace, key string) string {
+	return "batch/request/" + url.PathEscape(workspace) + "/" + key
+}
 
 func chunkPrefix(job string) string { return "batch/chunk/" + job + "/" }
 
 func chunkKey(job string, index int) string { return fmt.Sprintf("%s%06d", chunkPrefix(job), index) }
 
-func fileObject(id string) string { return "batch/file/" + id }
+func lanePrefix(model string) string { return "batch/lane/" + url.PathEscape(model) + "/" }
 
-func inputObject(job string, index int) string { return fmt.Sprintf("batch/input/%s/%06d", job, index) }
+func laneKey(l *lane) string {
+	rank := l.Place.Rank(l.Pending[0])
+	return fmt.Sprintf("%s%016x/%s/%06d", lanePrefix(l.Model), max(rank.UnixMicro(), 0), l.Job, l.Pending[0])
+}
+
+func leasePrefix(model string) string { return "batch/lease/" + url.PathEscape(model) + "/" }
+
+func leaseKey(c *Chunk, until time.Time) string {
+	return fmt.Sprintf("%s%016x/%s/%06d", leasePrefix(c.Model), max(until.UnixMilli(), 0), c.Job, c.Index)
+}
 
-func outputObject(c Chunk) string {
-	return fmt.Sprintf("batch/output/%s/%06d.%d", c.Job, c.Index, c.Epoch)
+// leaseEnd returns when the lease of the key ends.
+func leaseEnd(model, key string) time.Time {
+	text, _, _ := strings.Cut(strings.TrimPrefix(key, leasePrefix(model)), "/")
+	ms, _ := strconv.ParseInt(text, 16, 64)
+	return time.UnixMilli(ms)
 }
 
-func errorsObject(c Chunk) string {
-	return fmt.Sprintf("batch/errors/%s/%06d.%d", c.Job, c.Index, c.Epoch)
+func fileObject(id string) string { return "batch/file/" + id }
+
+func inputObject(job string, index int) string { return fmt.Sprintf("batch/input/%s/%06d", job, index) }
+
+func resultsObject(c *Chunk) string {
+	return fmt.Sprintf("batch/results/%s/%06d.%d", c.Job, c.Index, c.Epoch)
 }
 
 // Names of a job's result files.
--- /dev/null
+++ b/batch/jobs.go
@@ -0,0 +1,275 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/result"
+)
+
+const scanLimit = 1000
+
+// Job returns a job of the workspace. An empty workspace finds every job.
+func (s *Store) Job(ctx context.Context, workspace, id string) (Job, error) {
+	j, _, err := s.job(ctx, workspace, id)
+	return j, err
+}
+
+func (s *Store) job(ctx context.Context, workspace, id string) (Job, uint64, error) {
+	var j Job
+	version, err := s.get(ctx, jobKey(id), &j)
+	if errors.Is(err, platform.ErrNotFound) || (err == nil && workspace != "" && j.Workspace != workspace) {
+		return j, 0, result.Errorf(result.UnknownJob, "batch job %q does not exist", id)
+	}
+	if err != nil {
+		return j, 0, storeError(err)
+	}
+	return j, version, nil
+}
+
+// Jobs returns at most limit jobs of the workspace, the newest first, that
+// follow the job named after, and whether there are more. An empty workspace
+// lists every job in no particular order.
+func (s *Store) Jobs(ctx context.Context, workspace, after string, limit int) ([]Job, bool, error) {
+	if workspace == "" {
+		return s.allJobs(ctx, after, limit)
+	}
+	start := ""
+	if after != "" {
+		job, err := s.Job(ctx, workspace, after)
+		if err != nil {
+			return nil, false, err
+		}
+		start = ownerKey(&job)
+	}
+	records, err := s.table.Scan(ctx, ownerPrefix(workspace), start, limit+1)
+	if err != nil {
+		return nil, false, storeError(err)
+	}
+	more := len(records) > limit
+	var jobs []Job
+	for _, r := range records[:min(limit, len(records))] {
+		var id string
+		if err := decode(&r, &id); err != nil {
+			return nil, false, err
+		}
+		job, err := s.Job(ctx, workspace, id)
+		if err != nil {
+			return nil, false, err
+		}
+		jobs = append(jobs, job)
+	}
+	return jobs, more, nil
+}
+
+func (s *Store) allJobs(ctx context.Context, after string, limit int) ([]Job, bool, error) {
+	start := ""
+	if after != "" {
+		start = jobKey(after)
+	}
+	records, err := s.table.Scan(ctx, jobKey(""), start, limit+1)
+	if err != nil {
+		return nil, false, storeError(err)
+	}
+	jobs := make([]Job, min(limit, len(records)))
+	for i := range jobs {
+		if err := decode(&records[i], &jobs[i]); err != nil {
+			return nil, false, err
+		}
+	}
+	return jobs, len(records) > limit, nil
+}
+
+// Chunks returns the chunks of the job that were claimed, in order.
+func (s *Store) Chunks(ctx context.Context, job string) ([]Chunk, error) {
+	var chunks []Chunk
+	after := ""
+	for {
+		records, err := s.table.Scan(ctx, chunkPrefix(job), after, scanLimit)
+		if err != nil {
+			return nil, storeError(err)
+		}
+		for _, r := range records {
+			var c Chunk
+			if err := decode(&r, &c); err != nil {
+				return nil, err
+			}
+			chunks = append(chunks, c)
+			after = r.Key
+		}
+		if len(records) < scanLimit {
+			return chunks, nil
+		}
+	}
+}
+
+// Progress counts the items of the job.
+func (s *Store) Progress(ctx context.Context, job *Job) (Progress, error) {
+	if job.State == Completed {
+		return job.Progress, nil
+	}
+	chunks, err := s.Chunks(ctx, job.ID)
+	if err != nil {
+		return Progress{}, err
+	}
+	var p Progress
+	done := 0
+	for i := range chunks {
+		if chunks[i].Done {
+			done++
+			p.Completed += chunks[i].Completed
+			p.Failed += chunks[i].Failed
+		}
+	}
+	p.Done = done == job.Chunks
+	return p, nil
+}
+
+// Refresh returns the job with its progress. It completes a job whose last
+// worker vanished before it could.
+func (s *Store) Refresh(ctx context.Context, job Job) (Job, Progress, error) {
+	p, err := s.Progress(ctx, &job)
+	if err != nil || !p.Done || job.State != Active {
+		return job, p, err
+	}
+	if err := s.Finish(ctx, job.ID); err != nil {
+		return job, p, err
+	}
+	job, err = s.Job(ctx, job.Workspace, job.ID)
+	return job, p, err
+}
+
+// Finish marks the job completed if every chunk is done.
+func (s *Store) Finish(ctx context.Context, id string) error {
+	job, version, err := s.job(ctx, "", id)
+	if err != nil || job.State != Active {
+		return err
+	}
+	p, err := s.Progress(ctx, &job)
+	if err != nil || !p.Done {
+		return err
+	}
+	job.Progress = p
+	job.State = Completed
+	job.Ended = time.Now().UTC()
+	var w opWriter
+	w.put(jobKey(id), job, version)
+	err = s.commit(ctx, &w)
+	if errors.Is(err, platform.ErrConflict) {
+		return nil // another worker completed the job, or it was cancelled
+	}
+	if err != nil {
+		return storeError(err)
+	}
+	return nil
+}
+
+// recentCancels is the number of cancelled jobs that workers are told of.
+const recentCancels = 64
+
+// Cancel cancels a job of the workspace and returns it. Cancelling a job that
+// has ended changes nothing. Chunks that are not done by then never are.
+func (s *Store) Cancel(ctx context.Context, workspace, id string) (Job, error) {
+	for range acceptTries {
+		job, version, err := s.job(ctx, workspace, id)
+		if err != nil || job.State != Active {
+			return job, err
+		}
+		err = s.cancel(ctx, job, version)
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
+			return s.readBackCancel(ctx, workspace, id, err)
+		}
+	}
+	return Job{}, result.New(result.StoreConflict, result.MayHaveRun)
+}
+
+// cancel writes the job's state and tells the workers in one transaction.
+func (s *Store) cancel(ctx context.Context, job Job, version uint64) error {
+	var recent []string
+	listVersion, err := s.get(ctx, cancelledKey, &recent)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	recent = append(recent, job.ID)
+	recent = recent[max(0, len(recent)-recentCancels):]
+	job.State = Cancelled
+	job.Ended = time.Now().UTC()
+	var w opWriter
+	w.put(jobKey(job.ID), job, version)
+	w.put(cancelledKey, recent, listVersion)
+	return s.commit(ctx, &w)
+}
+
+// readBackCancel finds out whether a cancel without an answer took effect.
+func (s *Store) readBackCancel(ctx context.Context, workspace, id string, cause error) (Job, error) {
+	for range readBackTries {
+		job, err := s.Job(ctx, workspace, id)
+		if err == nil && job.State != Active {
+			return job, nil
+		}
+		if err == nil || !pause(ctx, readBackDelay) {
+			break
+		}
+	}
+	return Job{}, storeError(cause)
+}
+
+// Signal is a change that workers look for.
+type Signal struct {
+	// Version identifies the state that was read last; 0 reads any state.
+	Version uint64
+}
+
+// WorkChanged returns whether chunks of the model may have become claimable
+// since the last call.
+func (s *Store) WorkChanged(ctx context.Context, model string, signal *Signal) (bool, error) {
+	record, err := s.table.GetNewer(ctx, workKey(model), signal.Version)
+	if errors.Is(err, platform.ErrNotModified) || errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, storeError(err)
+	}
+	signal.Version = record.Version
+	return true, nil
+}
+
+// Cancelled returns the jobs that were cancelled last, or none if that has not
+// changed since the last call.
+func (s *Store) Cancelled(ctx context.Context, signal *Signal) ([]string, error) {
+	record, err := s.table.GetNewer(ctx, cancelledKey, signal.Version)
+	if errors.Is(err, platform.ErrNotModified) || errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, storeError(err)
+	}
+	var recent []string
+	if err := decode(&record, &recent); err != nil {
+		return nil, err
+	}
+	signal.Version = record.Version
+	return recent, nil
+}
+
+// Input returns the lines of a chunk.
+func (s *Store) Input(ctx context.Context, c *Chunk) ([]Item, error) {
+	data, err := platform.ReadObject(ctx, s.objects, inputObject(c.Job, c.Index))
+	if err != nil {
+		return nil, storeError(err)
+	}
+	var items []Item
+	err = scanLines(bytes.NewReader(data), func(number int, line []byte) error {
+		var item Item
+		if err := json.Unmarshal(line, &item); err != nil {
+			return result.Errorf(result.BadBatchLine, "line %d: %v", number, err)
+		}
+		items = append(items, item)
+		return nil
+	})
+	return items, err
+}
--- a/controller/dispatch/dispatch.go
+++ b/controller/dispatch/dispatch.go
@@ -4,20 +4,21 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/baobablanding/baobablanding/batch"
 	"github.com/baobablanding/baobablanding/blackboard"
-	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/peer"
 )
 
 const (
-	pollInterval = 500 * time.Millisecond
-	chunkLease   = 30 * time.Second
+	defaultLease = 30 * time.Second
+	renewalParts = 3 // parts of a lease after the first of which it is renewed
+
+	maxHeld      = 6        // chunks held at once
+	maxHeldBytes = 64 << 20 // bytes of inputs and results held at once
 )
 
 // Runner runs one request at a local upstream.
@@ -26,105 +27,183 @@
 	Run(ctx context.Context, req *peer.RunRequest, sink func(peer.Chunk) error) (*peer.RunResponse, error)
 }
 
-// Controller claims chunks of batch jobs and runs them.
+// Slots tells how many more batch items a local upstream bears.
+type Slots interface {
+	// Free returns the number of free slots.
+	Free(upstream string) int
+	// Changed returns a channel that is closed when slots may have become
+	// free after the call, or nil if that is not known.
+	Changed() <-chan struct{}
+}
+
+// Allowance grants the starts of batch items within a workspace's rate.
+type Allowance interface {
+	// Take draws at most n starts. If it grants none, it returns after what
+	// time some may be granted.
+	Take(ctx context.Context, workspace string, n int) (granted int, retryAfter time.Duration)
+}
+
+// Options holds the parts of a Controller.
+type Options struct {
+	// Store keeps the jobs.
+	Store *batch.Store
+	// Runner runs items.
+	Runner Runner
+	// Slots tells what is idle. The default goes by the board.
+	Slots Slots
+	// Allowance grants starts. The default grants all.
+	Allowance Allowance
+	// Holder identifies this process in claims.
+	Holder string
+	// Lease is how long a claim lasts without renewal. The default is 30s.
+	Lease time.Duration
+	// Metrics counts what is done.
+	Metrics *Metrics
+	// Log receives changes of state.
+	Log *log.Logger
+}
+
+// Controller claims chunks of batch jobs and runs their items. Its state
+// belongs to the goroutine of Run; other goroutines hand their outcomes to it
+// through a channel.
 type Controller struct {
-	board  *blackboard.Board
-	store  *batch.Store
-	runner Runner
-	holder string
-	log    *log.Logger
+	Options
+
+	board    *blackboard.Board
+	outcomes chan func()
+	ctx      context.Context
+	drained  chan struct{}
+
+	held      []*chunkRun
+	running   map[string]int       // items by upstream
+	alone     map[string]*chunkRun // upstreams kept free for one item
+	blocked   map[string]time.Time // upstreams that refused an item
+	allowance map[string]*grant    // by workspace
+	looks     map[string]*look     // searches for chunks, by model
+	claiming  bool
+	cancels   poll
+	stopped   bool
 }
 
-// New returns a Controller that claims chunks in the name of holder.
-func New(board *blackboard.Board, store *batch.Store, runner Runner, holder string, logger *log.Logger) *Controller {
-	return &Controller{board: board, store: store, runner: runner, holder: holder, log: logger}
+// New returns a Controller.
+func New(board *blackboard.Board, opts Options) *Controller {
+	if opts.Lease == 0 {
+		opts.Lease = defaultLease
+	}
+	if opts.Slots == nil {
+		opts.Slots = boardSlots{board}
+	}
+	if opts.Allowance == nil {
+		opts.Allowance = unlimited{}
+	}
+	return &Controller{
+		Options:   opts,
+		board:     board,
+		outcomes:  make(chan func()),
+		drained:   make(chan struct{}),
+		running:   make(map[string]int),
+		alone:     make(map[string]*chunkRun),
+		blocked:   make(map[string]time.Time),
+		allowance: make(map[string]*grant),
+		looks:     make(map[string]*look),
+	}
 }
 
 // Run works on batch jobs until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
+	c.ctx = ctx
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		for c.step(ctx) {
-		}
+		ups, phase, free := c.board.Upstreams.Load(), c.board.Phase.Load(), c.Slots.Changed()
+		next := c.step(time.Now())
+		timer.Reset(time.Until(next))
 		select {
-		case <-ticker.C:
+		case outcome := <-c.outcomes:
+			outcome()
+		case <-timer.C:
+		case <-free:
+		case <-ups.Changed():
+		case <-phase.Changed():
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// step runs one chunk and returns whether there was one.
-func (c *Controller) step(ctx context.Context) bool {
-	if ctx.Err() != nil || c.board.Phase.Value() != blackboard.Serving {
-		return false
-	}
-	jobs, err := c.store.Active(ctx)
-	if err != nil {
-		return false
-	}
-	for i := range jobs {
-		up := c.idle(&jobs[i])
-		if up == nil {
-			continue
-		}
-		claim, err := c.store.Claim(ctx, &jobs[i], c.holder, time.Now(), chunkLease)
-		if err != nil {
-			return false
-		}
-		if claim == nil {
-			continue
+// Drained returns a channel that is closed once a draining controller has given
+// back its claims.
+func (c *Controller) Drained() <-chan struct{} { return c.drained }
+
+// async runs work on another goroutine and then its outcome on the controller's
+// own.
+func (c *Controller) async(work func() (outcome func())) {
+	go func() {
+		outcome := work()
+		select {
+		case c.outcomes <- outcome:
+		case <-c.ctx.Done():
 		}
-		c.work(ctx, &jobs[i], claim)
-		return true
-	}
-	return false
+	}()
 }
 
-// idle returns a ready upstream here that serves the job's models, or nil.
-func (c *Controller) idle(job *batch.Job) *blackboard.Upstream {
-	for _, up := range c.board.Upstreams.Value().All {
-		if up.Usable() && up.State == fleet.Ready && serves(up.Spec, job.Models) {
-			return up
+// step starts whatever can be started and returns when to look again.
+func (c *Controller) step(now time.Time) time.Time {
+	next := now.Add(c.Lease)
+	earliest := func(t time.Time) {
+		if t.Before(next) {
+			next = t
 		}
 	}
-	return nil
-}
-
-func serves(spec *fleet.Upstream, models []string) bool {
-	known := make(map[string]bool, len(spec.Models))
-	for _, m := range spec.Models {
-		known[m] = true
+	for _, r := range c.held {
+		earliest(r.renew(now))
 	}
-	for _, m := range models {
-		if !known[m] {
-			return false
-		}
+	if c.board.Phase.Value() != blackboard.Serving {
+		c.drain()
+		return next
 	}
-	return true
+	earliest(c.pollCancelled(now))
+	earliest(c.fill(now))
+	earliest(c.search(now))
+	c.Metrics.held.Set(float64(len(c.held)))
+	return next
 }
 
-// work runs the items of a claimed chunk and commits their results.
-func (c *Controller) work(ctx context.Context, job *batch.Job, claim *batch.Claim) {
-	items, err := c.store.Input(ctx, claim.Chunk)
-	if err != nil {
-		c.log.Warn().Str("job", job.ID).Int("chunk", claim.Index).Err(err).Msg("batch input")
+// drain gives back every chunk that runs no item.
+func (c *Controller) drain() {
+	if c.board.Phase.Value() != blackboard.Draining || c.stopped {
 		return
 	}
-	r := newChunkRun(c, job, claim, items)
-	if !r.run(ctx) {
-		return
+	for _, r := range c.held {
+		r.release()
 	}
-	err = c.store.Commit(ctx, claim, r.output.Bytes(), r.errors.Bytes())
-	if errors.Is(err, batch.ErrLost) {
-		c.log.Info().Str("job", job.ID).Int("chunk", claim.Index).Msg("batch claim lost")
-		return
+	if len(c.held) == 0 && !c.claiming {
+		c.stopped = true
+		close(c.drained)
+	}
+}
+
+// drop removes a chunk that is no longer held.
+func (c *Controller) drop(r *chunkRun) {
+	r.cancel()
+	for i, other := range c.held {
+		if other == r {
+			c.held = append(c.held[:i], c.held[i+1:]...)
+			break
+		}
 	}
-	if err == nil {
-		err = c.store.Finish(ctx, job.ID)
+	for up, owner := range c.alone {
+		if owner == r {
+			delete(c.alone, up)
+		}
 	}
-	if err != nil {
-		c.log.Warn().Str("job", job.ID).Int("chunk", claim.Index).Err(err).Msg("batch commit")
+}
+
+// heldBytes returns the size of the inputs and results held.
+func (c *Controller) heldBytes() int {
+	n := 0
+	for _, r := range c.held {
+		n += r.bytes
 	}
+	return n
 }
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -25,6 +25,7 @@
 	vm          string
 	incarnation string
 	agent       *agent.Agent
+	dispatch    *dispatch.Controller
 	controllers *group
 	peers       *peer.Server
 	metrics     *httpserve.Server
@@ -61,7 +62,14 @@
 	a.board.Phase.Publish(blackboard.Serving)
 	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), logger).Run)
 	a.controllers.run(engines.New(a.board, agent.NewProber(), a.vm, logger).Run)
-	a.controllers.run(dispatch.New(a.board, batch.NewStore(table, objects), a.agent, a.vm, logger).Run)
+	a.dispatch = dispatch.New(a.board, dispatch.Options{
+		Store:   batch.NewStore(table, objects),
+		Runner:  a.agent,
+		Holder:  a.vm + "/" + a.incarnation,
+		Metrics: dispatch.NewMetrics(reg),
+		Log:     logger,
+	})
+	a.controllers.run(a.dispatch.Run)
 	a.controllers.run(a.announce)
 	return nil
 }
@@ -104,6 +112,11 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	a.board.Phase.Publish(blackboard.Draining)
 	err := a.agent.Wait(ctx)
+	select {
+	case <-a.dispatch.Drained():
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
 	a.Kill()
 	return err
 }
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -365,8 +365,11 @@
 	return nil
 }
 
+// maxAdminJobs is the number of jobs in one answer to an operator.
+const maxAdminJobs = 1000
+
 func (g *Gateway) showJobs(w http.ResponseWriter, r *http.Request, _ string) error {
-	jobs, err := g.jobs.Jobs(r.Context(), "")
+	jobs, _, err := g.jobs.Jobs(r.Context(), "", r.URL.Query().Get("after"), maxAdminJobs)
 	if err != nil {
 		return err
 	}
--- a/gateway/batches.go
+++ b/gateway/batches.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/zeromicro/go-zero/rest"
@@ -63,6 +64,7 @@
 	OutputFileID     string            `json:"output_file_id,omitempty"`
 	ErrorFileID      string            `json:"error_file_id,omitempty"`
 	CreatedAt        int64             `json:"created_at"`
+	InProgressAt     int64             `json:"in_progress_at,omitempty"`
 	ExpiresAt        int64             `json:"expires_at"`
 	CompletedAt      int64             `json:"completed_at,omitempty"`
 	CancelledAt      int64             `json:"cancelled_at,omitempty"`
@@ -85,6 +87,7 @@
 		CompletionWindow: j.Due.Sub(j.Created).Round(time.Second).String(),
 		Status:           string(j.State),
 		CreatedAt:        j.Created.Unix(),
+		InProgressAt:     j.Created.Unix(),
 		ExpiresAt:        j.Due.Unix(),
 		RequestCounts:    requestCounts{Total: j.Items, Completed: p.Completed, Failed: p.Failed},
 		Metadata:         j.Metadata,
@@ -96,7 +99,9 @@
 		b.CancelledAt = j.Ended.Unix()
 	}
 	if j.State != batch.Active {
-		b.OutputFileID = j.OutputFile()
+		if p.Completed > 0 {
+			b.OutputFileID = j.OutputFile()
+		}
 		if p.Failed > 0 {
 			b.ErrorFileID = j.ErrorsFile()
 		}
@@ -138,12 +143,12 @@
 	if err != nil {
 		return err
 	}
-	writeJSON(w, http.StatusOK, newBatchObject(job, batch.Progress{}))
+	writeJSON(w, http.StatusOK, newBatchObject(job, job.Progress))
 	return nil
 }
 
 func (g *Gateway) writeBatch(w http.ResponseWriter, r *http.Request, job batch.Job) error {
-	p, err := g.jobs.Progress(r.Context(), &job)
+	job, p, err := g.jobs.Refresh(r.Context(), job)
 	if err != nil {
 		return err
 	}
@@ -167,19 +172,52 @@
 	return g.writeBatch(w, r, job)
 }
 
+const (
+	defaultPage = 20  // jobs of a list
+	maxPage     = 100 // jobs of a list
+)
+
+// batchList is a page of a workspace's jobs.
+type batchList struct {
+	Object  string        `json:"object"`
+	Data    []batchObject `json:"data"`
+	FirstID string        `json:"first_id,omitempty"`
+	LastID  string        `json:"last_id,omitempty"`
+	HasMore bool          `json:"has_more"`
+}
+
 func (g *Gateway) listBatches(w http.ResponseWriter, r *http.Request, workspace *fleet.Workspace) error {
-	jobs, err := g.jobs.Jobs(r.Context(), workspace.Name)
+	limit, err := pageLimit(r)
 	if err != nil {
 		return err
 	}
-	list := make([]batchObject, 0, len(jobs))
+	jobs, more, err := g.jobs.Jobs(r.Context(), workspace.Name, r.URL.Query().Get("after"), limit)
+	if err != nil {
+		return err
+	}
+	list := batchList{Object: "list", Data: make([]batchObject, 0, len(jobs)), HasMore: more}
 	for _, job := range jobs {
-		p, err := g.jobs.Progress(r.Context(), &job)
+		job, p, err := g.jobs.Refresh(r.Context(), job)
 		if err != nil {
 			return err
 		}
-		list = append(list, newBatchObject(job, p))
+		list.Data = append(list.Data, newBatchObject(job, p))
+	}
+	if len(jobs) > 0 {
+		list.FirstID, list.LastID = jobs[0].ID, jobs[len(jobs)-1].ID
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"object": "list", "data": list, "has_more": false})
+	writeJSON(w, http.StatusOK, list)
 	return nil
 }
+
+func pageLimit(r *http.Request) (int, error) {
+	text := r.URL.Query().Get("limit")
+	if text == "" {
+		return defaultPage, nil
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil || limit < 1 || limit > maxPage {
+		return 0, result.Errorf(result.BadRequest, "limit %q is not between 1 and %d", text, maxPage)
+	}
+	return limit, nil
+}
