--- a/controller/dispatch/chunk.go
+++ b/controller/dispatch/chunk.go
@@ -218,6 +218,7 @@
 	outcome := "lost"
 	if errors.Is(err, batch.ErrCancelled) {
 		outcome = "cancelled"
+		defer r.c.cancelJobs([]string{r.claim.Job})
 	}
 	r.c.Metrics.chunks.WithLabelValues(outcome).Inc()
 	r.c.Log.Info().Str("job", r.claim.Job).Int("chunk", r.claim.Index).Str("outcome", outcome).Msg("batch claim ended")
--- a/controller/dispatch/search.go
+++ b/controller/dispatch/search.go
@@ -127,7 +127,10 @@
 // pollWork looks for new chunks of the model and returns when to look again.
 func (c *Controller) pollWork(model string, l *look, now time.Time) time.Time {
 	p := &l.work
-	if p.running || now.Before(p.next) {
+	if p.running {
+		return now.Add(c.Lease)
+	}
+	if now.Before(p.next) {
 		return p.next
 	}
 	p.running = true
@@ -211,7 +214,10 @@
 	if len(c.held) == 0 {
 		return now.Add(c.Lease)
 	}
-	if p.running || now.Before(p.next) {
+	if p.running {
+		return now.Add(c.Lease)
+	}
+	if now.Before(p.next) {
 		return p.next
 	}
 	p.running = true
