--- a/controller/dispatch/dispatch.go
+++ b/controller/dispatch/dispatch.go
@@ -29,8 +29,8 @@
 
 // Slots tells how many more batch items a local upstream bears.
 type Slots interface {
-	// Free returns the number of free slots.
-	Free(upstream string) int
+	// Idle returns the number of batch items that the upstream can take now.
+	Idle(upstream string) int
 	// Changed returns a channel that is closed when slots may have become
 	// free after the call, or nil if that is not known.
 	Changed() <-chan struct{}
--- a/controller/dispatch/item.go
+++ b/controller/dispatch/item.go
@@ -126,7 +126,12 @@
 // ambiguous tells whether another item at the same engine may have caused the
 // failure.
 func ambiguous(code result.Code) bool {
-	return code == result.AnswerIncomplete || code == result.OutcomeUnknown
+	switch code {
+	case result.AnswerIncomplete, result.OutcomeUnknown, result.UpstreamOverloaded, result.UpstreamUnreachable:
+		return true
+	default:
+		return false
+	}
 }
 
 // putBack lets an item that was not run start again first.
--- a/controller/dispatch/slots.go
+++ b/controller/dispatch/slots.go
@@ -11,8 +11,8 @@
 // boardSlots goes by the in-flight counts on the board.
 type boardSlots struct{ board *blackboard.Board }
 
-// Free implements Slots.
-func (s boardSlots) Free(upstream string) int {
+// Idle implements Slots.
+func (s boardSlots) Idle(upstream string) int {
 	up := s.board.Upstreams.Value().ByName(upstream)
 	if up == nil {
 		return 0
@@ -40,7 +40,7 @@
 	if !usable(up) || now.Before(c.blocked[name]) {
 		return 0
 	}
-	return min(c.Slots.Free(name), up.Spec.Slots-c.running[name])
+	return min(c.Slots.Idle(name), up.Spec.Slots-c.running[name])
 }
 
 // grant is what the allowance of a workspace has granted for the current step.
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
@@ -14,6 +15,8 @@
 	"github.com/baobablanding/baobablanding/controller/configsync"
 	"github.com/baobablanding/baobablanding/controller/dispatch"
 	"github.com/baobablanding/baobablanding/controller/engines"
+	"github.com/baobablanding/baobablanding/controller/vmlist"
+	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/platform"
@@ -56,37 +59,62 @@
 	if a.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
 		return err
 	}
-	if a.peers, err = peer.Listen(settings.Peer, a.agent.Handlers(), a.greet); err != nil {
+	if a.peers, err = peer.Listen(settings.Peer, a.handlers(), a.greet); err != nil {
 		return err
 	}
 	a.board.Phase.Publish(blackboard.Serving)
-	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), logger).Run)
+	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), a, logger).Run)
+	vms := platform.NewVMs(settings.Platform.VMs, settings.Platform.Timeout)
+	a.controllers.run(vmlist.New(a.board, vms, logger).Run)
 	a.controllers.run(engines.New(a.board, agent.NewProber(), a.vm, logger).Run)
 	a.dispatch = dispatch.New(a.board, dispatch.Options{
 		Store:   batch.NewStore(table, objects),
 		Runner:  a.agent,
+		Slots:   a.agent,
 		Holder:  a.vm + "/" + a.incarnation,
 		Metrics: dispatch.NewMetrics(reg),
 		Log:     logger,
 	})
 	a.controllers.run(a.dispatch.Run)
+	a.controllers.run(a.agent.Follow)
 	a.controllers.run(a.announce)
 	return nil
 }
 
+// handlers returns the handlers of what gateways send.
+func (a *Agent) handlers() peer.Handlers {
+	handlers := a.agent.Handlers()
+	handlers[peer.MethodConfig] = peer.ServeConfig(a.board)
+	handlers[peer.MethodVersion] = func(_ context.Context, _ *peer.Session, params json.RawMessage) (any, error) {
+		v, err := peer.Decode[peer.Version](params)
+		if err == nil {
+			a.board.Notice(v.ConfigVersion)
+		}
+		return nil, err
+	}
+	return handlers
+}
+
+// Fetch implements configsync.Peers: it asks the gateways that are connected.
+func (a *Agent) Fetch(ctx context.Context, have fleet.Head) (configstore.Bundle, bool) {
+	return peer.FetchConfig(ctx, a.peers.Askers(), have)
+}
+
 // greet tells a new connection the state of the upstreams.
 func (a *Agent) greet(s *peer.Session) {
 	_ = s.Notify(context.Background(), peer.MethodStatus, a.status())
 }
 
-// announce tells every connection when the state of the upstreams changes.
+// announce tells every connection when the state of the upstreams or the
+// configuration changes.
 func (a *Agent) announce(ctx context.Context) {
 	for {
-		ups, phase := a.board.Upstreams.Load(), a.board.Phase.Load()
+		ups, phase, config := a.board.Upstreams.Load(), a.board.Phase.Load(), a.board.Config.Load()
 		a.peers.Broadcast(ctx, peer.MethodStatus, a.status())
 		select {
 		case <-ups.Changed():
 		case <-phase.Changed():
+		case <-config.Changed():
 		case <-ctx.Done():
 			return
 		}
@@ -102,9 +130,7 @@
 	if view := a.board.Config.Value().View; view != nil {
 		s.ConfigVersion = view.Version
 	}
-	for _, up := range a.board.Upstreams.Value().All {
-		s.Reports = append(s.Reports, agent.Report(up))
-	}
+	s.Reports = a.agent.Reports()
 	return s
 }
 
