--- a/report/report.go
+++ b/report/report.go
@@ -103,6 +103,11 @@
 	if err != nil {
 		return err
 	}
+	return Write(w, r, format)
+}
+
+// Write writes the report in the format.
+func Write(w io.Writer, r *Report, format Format) error {
 	switch format {
 	case JSON:
 		enc := json.NewEncoder(w)
