Record concurrent runs and check them

history holds recorded calls, arrivals at upstreams and observations, and checkers: at most once, a true not-run, no key, own answers, no work after an event, rate windows, one result per item, never reverts, in force within a bound; porcupine models of a versioned register with conditional writes and repeated operations, and of a lease with epochs. A rate check counts a request only in windows that hold its whole uncertainty, so that it never refuses a correct run. Ruled out: a check by moments of arrival, since the way from the admission to the upstream would shift requests into one window.

--- /dev/null
+++ b/history/register_test.go
@@ -0,0 +1,93 @@
+package history_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/history"
+)
+
+// write returns a change that was applied.
+func write(op string, version uint64, call, end int) history.RegisterOp {
+	return history.RegisterOp{Operation: op, Version: version, Call: at(call), Return: at(end)}
+}
+
+// read returns a read.
+func read(op string, version uint64, call, end int) history.RegisterOp {
+	return history.RegisterOp{Read: true, Operation: op, Version: version, Call: at(call), Return: at(end)}
+}
+
+// lost returns a change whose answer was lost.
+func lost(op string, call int) history.RegisterOp {
+	return history.RegisterOp{Operation: op, Effect: history.Undecided, Call: at(call)}
+}
+
+// conflict returns a change that lost against another.
+func conflict(op string, base uint64, call, end int) history.RegisterOp {
+	return history.RegisterOp{Operation: op, Base: base, Effect: history.Conflicted, Call: at(call), Return: at(end)}
+}
+
+func TestRegister(t *testing.T) {
+	tests := []struct {
+		name     string
+		accepted bool
+		ops      []history.RegisterOp
+	}{
+		{"writes in order", true, []history.RegisterOp{write("a", 1, 0, 1), read("a", 1, 2, 3), write("b", 2, 4, 5)}},
+		{"concurrent writes", true, []history.RegisterOp{write("a", 2, 0, 9), write("b", 1, 0, 9)}},
+		{"two writes of one version", false, []history.RegisterOp{write("a", 1, 0, 9), write("b", 1, 0, 9)}},
+		{"lost update", false, []history.RegisterOp{write("a", 1, 0, 1), write("b", 2, 2, 3), read("a", 2, 4, 5)}},
+		{"stale read", false, []history.RegisterOp{write("a", 1, 0, 1), write("b", 2, 2, 3), read("a", 1, 4, 5)}},
+		{"lost answer that took effect", true, []history.RegisterOp{lost("a", 0), read("a", 1, 2, 3)}},
+		{"lost answer without effect", true, []history.RegisterOp{lost("a", 0), write("b", 1, 2, 3)}},
+		{"lost answer applied late", true, []history.RegisterOp{lost("a", 0), write("b", 1, 2, 3), read("a", 2, 4, 5)}},
+		{"repeated operation", true, []history.RegisterOp{lost("a", 0), write("a", 1, 2, 3), write("b", 2, 4, 5), write("a", 1, 6, 7)}},
+		{"operation applied twice", false, []history.RegisterOp{write("a", 1, 0, 1), write("a", 2, 2, 3)}},
+		{"conflict after another write", true, []history.RegisterOp{write("a", 1, 0, 1), conflict("b", 5, 2, 3)}},
+		{"conflict without another write", false, []history.RegisterOp{write("a", 1, 0, 1), conflict("b", 1, 2, 3), read("a", 1, 4, 5)}},
+		{"conflict that took effect", false, []history.RegisterOp{conflict("a", 0, 0, 1), read("a", 1, 2, 3)}},
+		{"write against an old base", false, []history.RegisterOp{
+			write("a", 1, 0, 1), write("b", 2, 2, 3),
+			{Operation: "c", Base: 1, Version: 3, Call: at(4), Return: at(5)},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { expect(t, tt.accepted, history.CheckRegister(tt.ops, 0)) })
+	}
+}
+
+func TestLease(t *testing.T) {
+	claim := func(epoch, call, end int) history.LeaseOp {
+		return history.LeaseOp{Claim: true, Epoch: epoch, Call: at(call), Return: at(end)}
+	}
+	commit := func(epoch int, effect history.Effect, call, end int) history.LeaseOp {
+		return history.LeaseOp{Epoch: epoch, Effect: effect, Call: at(call), Return: at(end)}
+	}
+	tests := []struct {
+		name     string
+		accepted bool
+		ops      []history.LeaseOp
+	}{
+		{"claim and commit", true, []history.LeaseOp{claim(1, 0, 1), commit(1, history.Applied, 2, 3)}},
+		{"late commit is refused", true, []history.LeaseOp{claim(1, 0, 1), claim(2, 2, 3), commit(1, history.Conflicted, 4, 5), commit(2, history.Applied, 6, 7)}},
+		{"late commit is applied", false, []history.LeaseOp{claim(1, 0, 1), claim(2, 2, 3), commit(1, history.Applied, 4, 5)}},
+		{"two holders of one epoch", false, []history.LeaseOp{claim(1, 0, 1), claim(1, 2, 3)}},
+		{"claim after the end", false, []history.LeaseOp{claim(1, 0, 1), commit(1, history.Applied, 2, 3), claim(2, 4, 5)}},
+		{"holder refused without cause", false, []history.LeaseOp{claim(1, 0, 1), commit(1, history.Conflicted, 2, 3)}},
+		{"lost commit repeated", true, []history.LeaseOp{claim(1, 0, 1), commit(1, history.Undecided, 2, 3), commit(1, history.Applied, 4, 5)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { expect(t, tt.accepted, history.CheckLease(tt.ops)) })
+	}
+}
+
+func TestNeverReverts(t *testing.T) {
+	expect(t, true, history.CheckNeverReverts([]history.Observation{{Daemon: "a", Version: 2}, {Daemon: "b", Version: 1}, {Daemon: "a", Version: 3}}))
+	expect(t, false, history.CheckNeverReverts([]history.Observation{{Daemon: "a", Version: 2}, {Daemon: "a", Version: 1}}))
+}
+
+func TestInForce(t *testing.T) {
+	seen := []history.Observation{{Daemon: "a", At: at(500), Version: 1}, {Daemon: "a", At: at(1500), Version: 2}}
+	expect(t, true, history.CheckInForce(seen, 2, at(0), time.Second))
+	expect(t, false, history.CheckInForce(seen, 2, at(0), 100*time.Millisecond))
+}
