Bring failures about in process fleets, and keep a true not-run

Cause: after an attempt that may have run, a retry that no upstream took (no_upstream, or an agent's refusal) ended the request with the verdict of the last attempt, so the caller was told not_run: true of a request that had reached an engine. Found by the first run of prooftest:

kill_agent: not run is true: request "kind0-caller5-5" was refused as not run but arrived 1 times at upstreams (3 requests) lost, cut and crossed answers: 4 requests, arrived up to 2 times

Ruled out: a race in peer.Pool (the requests had arrived before the refusal and the refusals named no_upstream). serve now ends a request with the worst verdict of its attempts.

prooftest builds the programs once, runs fleets of processes under kill -9, pauses, store outages and lost, cut and crossed answers, alone and together, and checks at most once, a true not-run, whole answers to own requests and no key at upstreams.

Before: go test ./prooftest: 3 of 6 fault sets failed as above.

--- /dev/null
+++ b/prooftest/caller_test.go
@@ -0,0 +1,264 @@
+package prooftest_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/gateway"
+	"github.com/baobablanding/baobablanding/history"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+// callTimeout bounds one request of a caller.
+const callTimeout = 10 * time.Second
+
+// answerTokens is the number of tokens of every answer.
+const answerTokens = 4
+
+// requestKind is what a caller sends.
+type requestKind int
+
+const (
+	whole requestKind = iota
+	stream
+	order // a call to a plain service that is not idempotent
+)
+
+// caller sends requests of one workspace and records them.
+type caller struct {
+	url       string
+	model     string
+	prefix    string // the route's path
+	workspace string
+	key       string
+	record    *history.Recorder
+	http      *http.Client
+}
+
+func (c *caller) client() *http.Client {
+	if c.http == nil {
+		return http.DefaultClient
+	}
+	return c.http
+}
+
+// call sends a request with the token as its content, records it and returns
+// it.
+func (c *caller) call(ctx context.Context, kind requestKind, token string) history.Call {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	call := history.Call{Token: token, Workspace: c.workspace, Once: kind == order, Sent: time.Now()}
+	call.Outcome, call.Answer = c.send(ctx, kind, token)
+	call.Ended = time.Now()
+	c.record.Add(call)
+	return call
+}
+
+func (c *caller) send(ctx context.Context, kind requestKind, token string) (history.Outcome, string) {
+	path, body := "/v1/chat/completions", c.chatBody(kind == stream, token)
+	if kind == order {
+		path, body = c.prefix+"/new", token
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+path, strings.NewReader(body))
+	if err != nil {
+		return history.Unknown, err.Error()
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return history.Unknown, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return history.Unknown, err.Error()
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(data)
+	}
+	return readAnswer(kind, data)
+}
+
+func (c *caller) chatBody(stream bool, token string) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+		c.model, stream, answerTokens, token)
+}
+
+// refusal returns the outcome that an error's body tells.
+func refusal(data []byte) (history.Outcome, string) {
+	var body gateway.ErrorBody
+	if json.Unmarshal(data, &body) != nil || body.Error.Code == 0 {
+		return history.Unknown, string(data)
+	}
+	if body.Error.NotRun {
+		return history.NotRun, body.Error.Name
+	}
+	return history.Failed, body.Error.Name
+}
+
+// readAnswer returns the content of a successful answer. A stream without its
+// last event is a failure that the caller can see.
+func readAnswer(kind requestKind, data []byte) (history.Outcome, string) {
+	switch kind {
+	case order:
+		var echo struct{ Body string }
+		if err := json.Unmarshal(data, &echo); err != nil {
+			return history.Answered, err.Error()
+		}
+		return history.Answered, echo.Body
+	case stream:
+		return readStream(string(data))
+	default:
+		var answer struct {
+			Choices []struct{ Message struct{ Content string } }
+		}
+		if err := json.Unmarshal(data, &answer); err != nil || len(answer.Choices) == 0 {
+			return history.Answered, "malformed: " + string(data)
+		}
+		return history.Answered, answer.Choices[0].Message.Content
+	}
+}
+
+func readStream(data string) (history.Outcome, string) {
+	events, ended := strings.CutSuffix(data, "data: [DONE]\n\n")
+	if !ended {
+		return history.Failed, data
+	}
+	var text strings.Builder
+	for event := range strings.SplitSeq(events, "\n\n") {
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		content, ok := strings.CutPrefix(event, "data: ")
+		if !ok || json.Unmarshal([]byte(content), &chunk) != nil || len(chunk.Choices) == 0 {
+			continue
+		}
+		text.WriteString(chunk.Choices[0].Delta.Content)
+	}
+	return history.Answered, text.String()
+}
+
+// ownAnswer returns the whole answer that belongs to a call of the kind.
+func ownAnswer(kind requestKind) func(history.Call) string {
+	return func(c history.Call) string {
+		switch kind {
+		case order:
+			return c.Token
+		case stream:
+			return "answer to: " + c.Token + " t1 t2 t3"
+		default:
+			return "answer to: " + c.Token
+		}
+	}
+}
+
+// callers runs callers side by side.
+type callers struct {
+	wg   sync.WaitGroup
+	stop context.CancelFunc
+}
+
+// start lets each caller send requests of the kind with a pause in between,
+// until the callers end.
+func start(ctx context.Context, list []*caller, kind requestKind, pause time.Duration) *callers {
+	ctx, cancel := context.WithCancel(ctx)
+	group := &callers{stop: cancel}
+	for i, c := range list {
+		group.wg.Add(1)
+		go func() {
+			defer group.wg.Done()
+			c.repeat(ctx, kind, fmt.Sprintf("kind%d-caller%d", kind, i), pause)
+		}()
+	}
+	return group
+}
+
+func (c *caller) repeat(ctx context.Context, kind requestKind, name string, pause time.Duration) {
+	for n := 0; ; n++ {
+		c.call(context.WithoutCancel(ctx), kind, fmt.Sprintf("%s-%d", name, n))
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// end waits for the last request of each caller.
+func (g *callers) end() {
+	g.stop()
+	g.wg.Wait()
+}
+
+// arrivals reads what every upstream of the inventory received.
+func arrivals(t *testing.T, inv *fleet.Inventory) []history.Arrival {
+	t.Helper()
+	var list []history.Arrival
+	for _, u := range inv.Upstreams {
+		for _, s := range seen(t, u.URL) {
+			list = append(list, history.Arrival{Upstream: u.Name, Token: s.Prompt, Key: s.Key, At: s.At})
+		}
+	}
+	return list
+}
+
+func seen(t *testing.T, url string) []standin.Seen {
+	t.Helper()
+	resp, err := http.Get(url + "/seen")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var list []standin.Seen
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// setFaults switches the failures of a stand-in.
+func setFaults(t *testing.T, url string, f standin.Faults) {
+	t.Helper()
+	data, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post(url+standin.FaultsPath, "application/json", strings.NewReader(string(data)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+}
+
+// check reports a violation of a guarantee.
+func check(t *testing.T, guarantee string, err error) {
+	t.Helper()
+	if err != nil {
+		t.Errorf("%s: %v", guarantee, err)
+	}
+}
+
+// checkRequests checks what must hold of all requests of one kind.
+func checkRequests(t *testing.T, kind requestKind, calls []history.Call, arrived []history.Arrival, keys map[string]string) {
+	t.Helper()
+	var texts []string
+	for _, key := range keys {
+		texts = append(texts, key)
+	}
+	check(t, "at most once", history.CheckAtMostOnce(calls, arrived))
+	check(t, "not run is true", history.CheckNotRun(calls, arrived))
+	check(t, "answers come from upstreams", history.CheckAnswersRan(calls, arrived))
+	check(t, "whole answers to own requests", history.CheckOwnAnswers(calls, ownAnswer(kind)))
+	check(t, "no key at upstreams", history.CheckNoKey(arrived, texts))
+}
--- /dev/null
+++ b/prooftest/requests_test.go
@@ -0,0 +1,181 @@
+package prooftest_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/devfleet"
+	"github.com/baobablanding/baobablanding/history"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+const (
+	// faultRounds is the number of faults that a test brings about.
+	faultRounds = 5
+	// faultPause is the time between two faults.
+	faultPause = 250 * time.Millisecond
+	// callPause is the time between two requests of one caller.
+	callPause = 10 * time.Millisecond
+	// callersPerGateway is the number of callers of each kind at a gateway.
+	callersPerGateway = 3
+)
+
+// fault is a failure of a process fleet that is undone before it returns.
+type fault struct {
+	name  string
+	bring func(t *testing.T, f *devfleet.Fleet, random *rand.Rand)
+}
+
+func pick(random *rand.Rand, n int) int { return random.IntN(n) }
+
+func gatewayName(random *rand.Rand, f *devfleet.Fleet) string {
+	return f.Inventory.Gateways[pick(random, len(f.Inventory.Gateways))].Name
+}
+
+func agentName(random *rand.Rand, f *devfleet.Fleet) string {
+	return "agent-" + f.Inventory.VMs[pick(random, len(f.Inventory.VMs))].Name
+}
+
+func upstreamName(random *rand.Rand, f *devfleet.Fleet) string {
+	return f.Inventory.Upstreams[pick(random, len(f.Inventory.Upstreams))].Name
+}
+
+func killAndRestart(t *testing.T, p *devfleet.Process) {
+	t.Logf("kill %s", p.Name)
+	p.Kill()
+	restart(t, p)
+}
+
+func pause(t *testing.T, p *devfleet.Process, d time.Duration) {
+	t.Logf("pause %s for %v", p.Name, d)
+	if err := p.Pause(); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(d)
+	if err := p.Resume(); err != nil {
+		t.Error(err)
+	}
+}
+
+var (
+	killGateway = fault{"kill gateway", func(t *testing.T, f *devfleet.Fleet, random *rand.Rand) {
+		killAndRestart(t, f.Process(gatewayName(random, f)))
+	}}
+	killAgent = fault{"kill agent", func(t *testing.T, f *devfleet.Fleet, random *rand.Rand) {
+		killAndRestart(t, f.Process(agentName(random, f)))
+	}}
+	pauseAgent = fault{"pause agent", func(t *testing.T, f *devfleet.Fleet, random *rand.Rand) {
+		pause(t, f.Process(agentName(random, f)), faultPause)
+	}}
+	pauseGateway = fault{"pause gateway", func(t *testing.T, f *devfleet.Fleet, random *rand.Rand) {
+		pause(t, f.Process(gatewayName(random, f)), faultPause)
+	}}
+	pauseUpstream = fault{"pause upstream", func(t *testing.T, f *devfleet.Fleet, random *rand.Rand) {
+		pause(t, f.Process(upstreamName(random, f)), faultPause)
+	}}
+	badAnswers = fault{"lost, cut and crossed answers", func(t *testing.T, f *devfleet.Fleet, _ *rand.Rand) {
+		for _, u := range f.Inventory.Upstreams {
+			setFaults(t, u.URL, standin.Faults{LoseAnswers: 3, CutStreams: 3, CrossAnswers: 3})
+		}
+	}}
+	storeOutage = fault{"store outage", func(t *testing.T, f *devfleet.Fleet, _ *rand.Rand) {
+		setFaults(t, f.Platform, standin.Faults{Outage: true})
+		time.Sleep(faultPause)
+		setFaults(t, f.Platform, standin.Faults{})
+	}}
+)
+
+// TestRequestsSurviveFailures sends every kind of request through a fleet of
+// processes while single faults, and pairs of them, hit it.
+func TestRequestsSurviveFailures(t *testing.T) {
+	for _, faults := range [][]fault{
+		{killGateway},
+		{killAgent},
+		{badAnswers, pauseUpstream},
+		{killGateway, killAgent},
+		{pauseAgent, killGateway},
+		{pauseGateway, badAnswers, storeOutage},
+	} {
+		name := faults[0].name
+		for _, f := range faults[1:] {
+			name += " and " + f.name
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runThroughFaults(t, faults)
+		})
+	}
+}
+
+func runThroughFaults(t *testing.T, faults []fault) {
+	f := startProcesses(t, devfleet.Options{
+		DataCentres: 2, Gateways: 2, Engines: 2, Services: 2,
+		EngineArgs: []string{"--prefill", "10ms", "--per-token", "2ms"},
+	})
+	random := newRandom(t)
+	kinds := []requestKind{whole, stream, order}
+	records := make([]*history.Recorder, len(kinds))
+	groups := make([]*callers, len(kinds))
+	for i, kind := range kinds {
+		records[i] = new(history.Recorder)
+		groups[i] = start(t.Context(), processCallers(f, records[i]), kind, callPause)
+	}
+	for range faultRounds {
+		for _, fault := range faults {
+			fault.bring(t, f, random)
+		}
+		time.Sleep(faultPause)
+	}
+	for _, group := range groups {
+		group.end()
+	}
+	arrived := arrivals(t, &f.Inventory)
+	for i, kind := range kinds {
+		t.Logf("kind %d: %s", kind, records[i].Summary())
+		checkRequests(t, kind, records[i].Calls(), arrived, f.Keys)
+		if records[i].Count(history.Answered) == 0 {
+			t.Errorf("no request of kind %d was answered", kind)
+		}
+	}
+}
+
+// processCallers returns callers at every gateway of the fleet.
+func processCallers(f *devfleet.Fleet, record *history.Recorder) []*caller {
+	var list []*caller
+	for i := range f.Inventory.Gateways {
+		for range callersPerGateway {
+			list = append(list, processCaller(f, i, record))
+		}
+	}
+	return list
+}
+
+func processCaller(f *devfleet.Fleet, gatewayIndex int, record *history.Recorder) *caller {
+	workspace := f.Inventory.Workspaces[0].Name
+	return &caller{
+		url: f.URL(gatewayIndex), model: devfleet.ModelName, prefix: devfleet.RoutePrefix,
+		workspace: workspace, key: f.Keys[workspace], record: record,
+	}
+}
+
+// TestLostAnswersAreNotRepeated calls a service that acts and then loses its
+// answer: the call must not be repeated, and must not be reported as not run.
+func TestLostAnswersAreNotRepeated(t *testing.T) {
+	t.Parallel()
+	const losses = 5
+	f := startProcesses(t, devfleet.Options{DataCentres: 1, Gateways: 1, Engines: 1, Services: 2})
+	for _, u := range f.Inventory.Upstreams {
+		setFaults(t, u.URL, standin.Faults{LoseAnswers: losses})
+	}
+	var record history.Recorder
+	c := processCaller(f, 0, &record)
+	for n := range 4 * losses {
+		c.call(t.Context(), order, fmt.Sprintf("order-%d", n))
+	}
+	checkRequests(t, order, record.Calls(), arrivals(t, &f.Inventory), f.Keys)
+	if got := record.Count(history.Failed); got != 2*losses {
+		t.Errorf("%d calls failed, not %d", got, 2*losses)
+	}
+}
--- a/result/error.go
+++ b/result/error.go
@@ -70,6 +70,14 @@
 	return &c
 }
 
+// WithVerdict returns a copy of e with the verdict v, for a request whose last
+// attempt is not the only one.
+func (e *Error) WithVerdict(v Verdict) *Error {
+	c := *e
+	c.Verdict = v
+	return &c
+}
+
 // From returns the Error in err's chain, or wraps err as Internal with an
 // unknown outcome.
 func From(err error) *Error {
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -29,12 +29,14 @@
 // attempts tries upstreams until one answers or no further attempt is allowed.
 func (s *Server) attempts(ctx context.Context, c *call) error {
 	limit := c.view.Inventory.Rules.Attempts
+	worst := result.NotRun
 	for number := 1; ; number++ {
 		err := s.attempt(ctx, c, number)
 		if err == nil {
 			return nil
 		}
 		failed := result.From(err)
+		worst = max(worst, failed.Verdict)
 		again := retry.Again(retry.Attempt{
 			Number:     number,
 			Limit:      limit,
@@ -43,11 +45,11 @@
 			Err:        failed,
 		})
 		if !again || ctx.Err() != nil {
-			return failed
+			return failed.WithVerdict(worst)
 		}
 		if !c.budget.Spend() {
 			s.metrics.budgetEmpty.Inc()
-			return failed
+			return failed.WithVerdict(worst)
 		}
 		s.metrics.retries.Inc()
 	}
