--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -97,12 +97,24 @@
 	}
 	f := &Fleet{opts: opts, dir: dir, Keys: make(map[string]string), AdminKey: "admin-" + rand.Text()}
 	if err := f.start(ctx); err != nil {
+		err = errors.Join(err, f.failures())
 		f.Kill()
 		return nil, err
 	}
 	return f, nil
 }
 
+// failures returns an error with the output of each process that has ended.
+func (f *Fleet) failures() error {
+	var errs []error
+	for _, p := range f.processes {
+		if p.ended() {
+			errs = append(errs, fmt.Errorf("%s has ended: %s", p.Name, p.Log()))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 func (f *Fleet) start(ctx context.Context) error {
 	if err := f.startPlatform(ctx); err != nil {
 		return err
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -20,6 +19,7 @@
 	"github.com/baobablanding/baobablanding/configstore"
 	"github.com/baobablanding/baobablanding/ctl"
 	"github.com/baobablanding/baobablanding/daemon"
+	"github.com/baobablanding/baobablanding/devfleet"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/gateway"
 	"github.com/baobablanding/baobablanding/standin"
@@ -134,12 +134,11 @@
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := devfleet.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // plan makes the inventory and starts the stand-ins of the upstreams.
--- /dev/null
+++ b/prooftest/batch_test.go
@@ -0,0 +1,302 @@
+package prooftest_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/baobablanding/baobablanding/batch"
+	"github.com/baobablanding/baobablanding/devfleet"
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/history"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+// jobStatus is what a caller learns about a batch job.
+type jobStatus struct {
+	ID            string `json:"id"`
+	Status        string `json:"status"`
+	OutputFileID  string `json:"output_file_id"`
+	ErrorFileID   string `json:"error_file_id"`
+	RequestCounts struct {
+		Total     int `json:"total"`
+		Completed int `json:"completed"`
+		Failed    int `json:"failed"`
+	} `json:"request_counts"`
+}
+
+// batchCaller uses the batch interface of a gateway.
+type batchCaller struct {
+	url, key string
+}
+
+func (c batchCaller) do(ctx context.Context, method, path, contentType string, body io.Reader, header http.Header) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.url+path, body)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if contentType != "" {
+		req.Header.Set("Content-Type", contentType)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s %s: status %d: %s", method, path, resp.StatusCode, data)
+	}
+	return data, nil
+}
+
+func (c batchCaller) upload(ctx context.Context, lines string) (string, error) {
+	var form bytes.Buffer
+	w := multipart.NewWriter(&form)
+	if err := w.WriteField("purpose", "batch"); err != nil {
+		return "", err
+	}
+	part, err := w.CreateFormFile("file", "items.jsonl")
+	if err != nil {
+		return "", err
+	}
+	if _, err := io.WriteString(part, lines); err != nil {
+		return "", err
+	}
+	if err := w.Close(); err != nil {
+		return "", err
+	}
+	data, err := c.do(ctx, http.MethodPost, "/v1/files", w.FormDataContentType(), &form, nil)
+	if err != nil {
+		return "", err
+	}
+	var file struct {
+		ID string `json:"id"`
+	}
+	err = json.Unmarshal(data, &file)
+	return file.ID, err
+}
+
+// create submits a job under an idempotency key.
+func (c batchCaller) create(ctx context.Context, file, idempotencyKey string) (jobStatus, error) {
+	body := fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"1h"}`, file)
+	header := http.Header{"Idempotency-Key": {idempotencyKey}}
+	return c.job(c.do(ctx, http.MethodPost, "/v1/batches", "application/json", strings.NewReader(body), header))
+}
+
+func (c batchCaller) get(ctx context.Context, id string) (jobStatus, error) {
+	return c.job(c.do(ctx, http.MethodGet, "/v1/batches/"+id, "", http.NoBody, nil))
+}
+
+func (c batchCaller) cancel(ctx context.Context, id string) (jobStatus, error) {
+	return c.job(c.do(ctx, http.MethodPost, "/v1/batches/"+id+"/cancel", "", http.NoBody, nil))
+}
+
+func (batchCaller) job(data []byte, err error) (jobStatus, error) {
+	var job jobStatus
+	if err != nil {
+		return job, err
+	}
+	err = json.Unmarshal(data, &job)
+	return job, err
+}
+
+// results returns the result lines of a file, or none for an empty name.
+func (c batchCaller) results(ctx context.Context, file string) ([]batch.ResultLine, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := c.do(ctx, http.MethodGet, "/v1/files/"+file+"/content", "", http.NoBody, nil)
+	if err != nil {
+		return nil, err
+	}
+	var lines []batch.ResultLine
+	for text := range strings.SplitSeq(strings.TrimSpace(string(data)), "\n") {
+		var line batch.ResultLine
+		if err := json.Unmarshal([]byte(text), &line); err != nil {
+			return nil, fmt.Errorf("result line %q: %w", text, err)
+		}
+		lines = append(lines, line)
+	}
+	return lines, nil
+}
+
+// batchItems returns items and the lines of their batch file. The items whose
+// number is a multiple of poisoned can never succeed.
+func batchItems(model string, count, poisoned int) (ids []string, lines string) {
+	var text strings.Builder
+	for n := range count {
+		id := fmt.Sprintf("item-%d", n)
+		prompt := "prompt of " + id
+		if n%poisoned == 0 {
+			prompt = "poison " + id
+		}
+		ids = append(ids, id)
+		fmt.Fprintf(&text, `{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}}`+"\n",
+			id, model, answerTokens, prompt)
+	}
+	return ids, text.String()
+}
+
+// checkResults checks that each item has one result, and the right one.
+func checkResults(t *testing.T, ids []string, output, failures []batch.ResultLine) {
+	t.Helper()
+	var results []string
+	for _, line := range output {
+		results = append(results, line.CustomID)
+		if want := "answer to: prompt of " + line.CustomID; line.Response == nil || !strings.Contains(string(line.Response.Body), want) {
+			t.Errorf("item %s has a wrong result: %+v", line.CustomID, line.Response)
+		}
+	}
+	for _, line := range failures {
+		results = append(results, line.CustomID)
+		if line.Error == nil {
+			t.Errorf("item %s has an error line without an error", line.CustomID)
+		}
+	}
+	check(t, "one result for each item", history.CheckOneResult(ids, results))
+}
+
+const (
+	batchCount    = 120
+	batchPoisoned = 40
+	batchChunk    = 10
+	batchEngines  = 3
+)
+
+// batchFleet is a fleet of processes whose batch chunks are small.
+func batchFleet(t *testing.T) *devfleet.Fleet {
+	t.Helper()
+	return startProcesses(t, devfleet.Options{
+		DataCentres: 2, Gateways: 2, Engines: batchEngines, Services: 1,
+		Rules:      fleet.Rules{ChunkItems: batchChunk},
+		EngineArgs: []string{"--prefill", "20ms", "--per-token", "5ms"},
+	})
+}
+
+func batchCallerAt(f *devfleet.Fleet, gatewayIndex int) batchCaller {
+	return batchCaller{url: f.URL(gatewayIndex), key: f.Keys[f.Inventory.Workspaces[0].Name]}
+}
+
+// submit uploads a file and submits its job.
+func submit(t *testing.T, c batchCaller, lines string) jobStatus {
+	t.Helper()
+	file, err := c.upload(t.Context(), lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	job, err := c.create(t.Context(), file, "job-of-"+file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return job
+}
+
+// finished waits until the job has completed and checks its results.
+func finished(t *testing.T, c batchCaller, id string, ids []string) {
+	t.Helper()
+	var job jobStatus
+	eventually(t, "the job has completed", func() bool {
+		got, err := c.get(t.Context(), id)
+		if err == nil {
+			job = got
+		}
+		return job.Status == string(batch.Completed)
+	})
+	readResults(t, c, job, ids)
+}
+
+func readResults(t *testing.T, c batchCaller, job jobStatus, ids []string) {
+	t.Helper()
+	output, err := c.results(t.Context(), job.OutputFileID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	failures, err := c.results(t.Context(), job.ErrorFileID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkResults(t, ids, output, failures)
+	t.Logf("%d results, %d error lines", len(output), len(failures))
+}
+
+// TestBatchSurvivesFailures loses the gateway right after its acknowledgement,
+// resends the job, kills agents with items in flight, lets the store fail and
+// replaces every daemon before it reads the results again.
+func TestBatchSurvivesFailures(t *testing.T) {
+	t.Parallel()
+	f := batchFleet(t)
+	random := newRandom(t)
+	ids, lines := batchItems(devfleet.ModelName, batchCount, batchPoisoned)
+	first, second := batchCallerAt(f, 0), batchCallerAt(f, 1)
+
+	file, err := first.upload(t.Context(), lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	job, err := first.create(t.Context(), file, "resent")
+	f.Process(f.Inventory.Gateways[0].Name).Kill()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := second.create(t.Context(), file, "resent")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again.ID != job.ID {
+		t.Errorf("the resent job is %s, not %s", again.ID, job.ID)
+	}
+
+	setFaults(t, f.Platform, standin.Faults{LoseAnswers: 3})
+	for _, engine := range random.Perm(batchEngines)[:2] {
+		killBusyAgent(t, f, f.Inventory.Upstreams[engine])
+		storeOutage.bring(t, f, random)
+	}
+	finished(t, second, job.ID, ids)
+
+	replaceDaemons(t, f)
+	restart(t, f.Process(f.Inventory.Gateways[0].Name))
+	finished(t, first, job.ID, ids)
+}
+
+// killBusyAgent kills and restarts the agent of an engine while items run there.
+func killBusyAgent(t *testing.T, f *devfleet.Fleet, engine fleet.Upstream) {
+	t.Helper()
+	eventually(t, engine.Name+" runs an item", func() bool {
+		list := seen(t, engine.URL)
+		return len(list) > 0 && !list[len(list)-1].Done && list[len(list)-1].Prompt != ""
+	})
+	killAndRestart(t, f.Process("agent-"+engine.VM))
+}
+
+// replaceDaemons kills every daemon that runs and starts new ones, except the
+// first gateway, which stays down.
+func replaceDaemons(t *testing.T, f *devfleet.Fleet) {
+	t.Helper()
+	var names []string
+	for _, g := range f.Inventory.Gateways[1:] {
+		names = append(names, g.Name)
+	}
+	for _, vm := range f.Inventory.VMs {
+		names = append(names, "agent-"+vm.Name)
+	}
+	for _, name := range names {
+		f.Process(name).Kill()
+	}
+	for _, name := range names {
+		restart(t, f.Process(name))
+	}
+}
