Race operators against one another and a failing store

Need: an accepted configuration must be accepted once and never revert.

Four operators change the configuration through two gateways, half of the changes against a base version, while the store loses answers and is out by turns. The operations, with repeats of one operation as one, are checked with porcupine against a versioned register; the versions that gateways report are checked never to go back and to be in force within 3 s. A gateway that restarts during an outage must not serve an older version.

--- a/prooftest/batch_test.go
+++ b/prooftest/batch_test.go
@@ -101,10 +101,6 @@
 	return c.job(c.do(ctx, http.MethodGet, "/v1/batches/"+id, "", http.NoBody, nil))
 }
 
-func (c batchCaller) cancel(ctx context.Context, id string) (jobStatus, error) {
-	return c.job(c.do(ctx, http.MethodPost, "/v1/batches/"+id+"/cancel", "", http.NoBody, nil))
-}
-
 func (batchCaller) job(data []byte, err error) (jobStatus, error) {
 	var job jobStatus
 	if err != nil {
@@ -124,7 +120,7 @@
 		return nil, err
 	}
 	var lines []batch.ResultLine
-	for text := range strings.SplitSeq(strings.TrimSpace(string(data)), "\n") {
+	for text := range strings.Lines(string(data)) {
 		var line batch.ResultLine
 		if err := json.Unmarshal([]byte(text), &line); err != nil {
 			return nil, fmt.Errorf("result line %q: %w", text, err)
@@ -177,12 +173,12 @@
 	batchEngines  = 3
 )
 
-// batchFleet is a fleet of processes whose batch chunks are small.
-func batchFleet(t *testing.T) *devfleet.Fleet {
+// batchFleet is a fleet of processes whose batch chunks have the given size.
+func batchFleet(t *testing.T, chunkItems int) *devfleet.Fleet {
 	t.Helper()
 	return startProcesses(t, devfleet.Options{
 		DataCentres: 2, Gateways: 2, Engines: batchEngines, Services: 1,
-		Rules:      fleet.Rules{ChunkItems: batchChunk},
+		Rules:      fleet.Rules{ChunkItems: chunkItems},
 		EngineArgs: []string{"--prefill", "20ms", "--per-token", "5ms"},
 	})
 }
@@ -191,20 +187,6 @@
 	return batchCaller{url: f.URL(gatewayIndex), key: f.Keys[f.Inventory.Workspaces[0].Name]}
 }
 
-// submit uploads a file and submits its job.
-func submit(t *testing.T, c batchCaller, lines string) jobStatus {
-	t.Helper()
-	file, err := c.upload(t.Context(), lines)
-	if err != nil {
-		t.Fatal(err)
-	}
-	job, err := c.create(t.Context(), file, "job-of-"+file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return job
-}
-
 // finished waits until the job has completed and checks its results.
 func finished(t *testing.T, c batchCaller, id string, ids []string) {
 	t.Helper()
@@ -238,7 +220,7 @@
 // replaces every daemon before it reads the results again.
 func TestBatchSurvivesFailures(t *testing.T) {
 	t.Parallel()
-	f := batchFleet(t)
+	f := batchFleet(t, batchChunk)
 	random := newRandom(t)
 	ids, lines := batchItems(devfleet.ModelName, batchCount, batchPoisoned)
 	first, second := batchCallerAt(f, 0), batchCallerAt(f, 1)
--- /dev/null
+++ b/prooftest/config_test.go
@@ -0,0 +1,304 @@
+package prooftest_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/baobablanding/baobablanding/config"
+	"github.com/baobablanding/baobablanding/configstore"
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/fleettest"
+	"github.com/baobablanding/baobablanding/gateway"
+	"github.com/baobablanding/baobablanding/history"
+	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+const (
+	operators      = 4
+	changesEach    = 10
+	operationTries = 20
+	operationPause = 5 * time.Millisecond
+	// inForceBound is the longest time from the acceptance of a configuration
+	// until every daemon has it in force, while the store answers.
+	inForceBound = 3 * time.Second
+)
+
+// operator makes changes through one gateway and records them.
+type operator struct {
+	number  int
+	fleet   *fleettest.Fleet
+	random  *rand.Rand
+	history *registerHistory
+}
+
+// registerHistory collects operations on the configuration.
+type registerHistory struct {
+	mu  sync.Mutex
+	ops []history.RegisterOp
+}
+
+func (h *registerHistory) add(op history.RegisterOp) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, op)
+}
+
+// change applies the inventory, repeating an operation whose outcome is
+// unknown, and then reads the head. The history holds it as one operation.
+func (o *operator) change(ctx context.Context, text string) {
+	op := history.RegisterOp{Client: o.number, Operation: uuid.NewString(), Effect: history.Undecided, Call: time.Now()}
+	if o.random.IntN(2) == 0 {
+		op.Base = o.read(ctx)
+	}
+	for try := 0; try < operationTries && op.Effect == history.Undecided; try++ {
+		op.Version, op.Effect = o.apply(ctx, op.Operation, op.Base, text)
+		time.Sleep(operationPause)
+	}
+	op.Return = time.Now()
+	o.history.add(op)
+	o.read(ctx)
+}
+
+func (o *operator) apply(ctx context.Context, operation string, base uint64, text string) (uint64, history.Effect) {
+	request := gateway.ApplyRequest{
+		Edit:      gateway.Edit{Operation: operation, Author: fmt.Sprintf("operator-%d", o.number)},
+		Base:      base,
+		Inventory: text,
+	}
+	var applied gateway.ApplyResponse
+	err := o.fleet.Client(o.number%len(o.fleet.Inventory.Gateways)).Post(ctx, "/admin/config", request, &applied)
+	switch {
+	case err == nil:
+		return applied.Version, history.Applied
+	case result.CodeOf(err) == result.ConfigConflict:
+		return 0, history.Conflicted
+	default:
+		return 0, history.Undecided
+	}
+}
+
+// read records a read of the head and returns its version, or 0 if the store
+// gave no answer.
+func (o *operator) read(ctx context.Context) uint64 {
+	op := history.RegisterOp{Client: o.number, Read: true, Call: time.Now()}
+	head, _, err := o.fleet.Store().Head(ctx, 0)
+	if err != nil {
+		return 0
+	}
+	op.Version, op.Operation, op.Return = head.Version, head.Operation, time.Now()
+	o.history.add(op)
+	return head.Version
+}
+
+// watcher records the versions that gateways have in force.
+type watcher struct {
+	seen []history.Observation
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// watch looks at every gateway until it is ended.
+func watch(f *fleettest.Fleet) *watcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &watcher{stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		for ctx.Err() == nil {
+			w.look(ctx, f)
+			select {
+			case <-time.After(waitInterval):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return w
+}
+
+func (w *watcher) look(ctx context.Context, f *fleettest.Fleet) {
+	for i, g := range f.Inventory.Gateways {
+		var status gateway.StatusResponse
+		if f.Client(i).Get(ctx, "/admin/status", &status) == nil {
+			w.seen = append(w.seen, history.Observation{Daemon: g.Name, At: time.Now(), Version: status.ConfigVersion})
+		}
+	}
+}
+
+// end returns what was seen.
+func (w *watcher) end() []history.Observation {
+	w.stop()
+	<-w.done
+	return w.seen
+}
+
+// TestRacingOperators lets operators race one another while answers of the
+// store are lost and the store is out for a while. Every accepted change must
+// make one version, and no daemon may go back.
+func TestRacingOperators(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Gateways: 2})
+	random := newRandom(t)
+	text, err := config.FormatInventory(&f.Inventory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, _, err := f.Store().Head(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var h registerHistory
+	w := watch(f)
+	var wg sync.WaitGroup
+	for n := range operators {
+		o := &operator{number: n, fleet: f, random: rand.New(rand.NewPCG(random.Uint64(), 0)), history: &h}
+		wg.Go(func() {
+			for range changesEach {
+				o.change(t.Context(), string(text))
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		wg.Wait()
+	}()
+	harass(f.Platform, random, done)
+	accepted := time.Now()
+	last, _, err := f.Store().Head(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(inForceBound + time.Second)
+	seen := w.end()
+	logEffects(t, h.ops)
+	check(t, "accepted once", history.CheckRegister(h.ops, before.Version))
+	check(t, "never reverts", history.CheckNeverReverts(seen))
+	check(t, "in force within the bound", history.CheckInForce(seen, last.Version, accepted, inForceBound))
+	checkVersions(t, f, last.Version)
+}
+
+// storeFaultTime is the longest time of one of the store's failures.
+const storeFaultTime = 30 * time.Millisecond
+
+// harass lets the store lose answers, work and be out by turns until done is
+// closed.
+func harass(p *standin.Platform, random *rand.Rand, done <-chan struct{}) {
+	defer p.Set(standin.Faults{})
+	for turn := 0; ; turn++ {
+		switch turn % 3 {
+		case 0:
+			p.Set(standin.Faults{LoseAnswers: 4})
+		case 1:
+			p.Set(standin.Faults{})
+		default:
+			p.Set(standin.Faults{Outage: true})
+		}
+		select {
+		case <-time.After(time.Duration(random.Int64N(int64(storeFaultTime)))):
+		case <-done:
+			return
+		}
+	}
+}
+
+func logEffects(t *testing.T, ops []history.RegisterOp) {
+	t.Helper()
+	counts := make(map[history.Effect]int)
+	for _, op := range ops {
+		if !op.Read {
+			counts[op.Effect]++
+		}
+	}
+	t.Logf("%d applied, %d conflicts, %d undecided", counts[history.Applied], counts[history.Conflicted], counts[history.Undecided])
+	if counts[history.Conflicted] == 0 || counts[history.Applied] == 0 {
+		t.Errorf("the run brought about no conflict or no change")
+	}
+}
+
+// checkVersions checks that the kept history has each version and each
+// operation once.
+func checkVersions(t *testing.T, f *fleettest.Fleet, last uint64) {
+	t.Helper()
+	heads, err := f.Store().History(t.Context(), 0, int(last)+1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	operations := make(map[string]bool)
+	for i, head := range heads {
+		if head.Version != uint64(i)+1 || operations[head.Operation] {
+			t.Errorf("history entry %d has version %d of operation %s", i, head.Version, head.Operation)
+		}
+		operations[head.Operation] = true
+	}
+	if uint64(len(heads)) != last {
+		t.Errorf("the history has %d versions, not %d", len(heads), last)
+	}
+}
+
+// TestRestartDuringOutageDoesNotRevert restarts a gateway while the store is
+// out. It must not serve by an older configuration, and must follow again when
+// the store is back.
+func TestRestartDuringOutageDoesNotRevert(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Gateways: 2})
+	newRandom(t)
+	version := applyAgain(t, f)
+	f.WaitVersion(version)
+	w := watch(f)
+	f.Platform.Set(standin.Faults{Outage: true})
+	f.KillGateway(f.Inventory.Gateways[0].Name)
+	f.StartGateway(f.Inventory.Gateways[0].Name)
+	time.Sleep(faultPause)
+	f.Platform.Set(standin.Faults{})
+	f.WaitVersion(version)
+	for _, o := range w.end() {
+		if o.Version != 0 && o.Version < version {
+			t.Errorf("%s had version %d in force after version %d", o.Daemon, o.Version, version)
+		}
+	}
+}
+
+// applyAgain accepts the same inventory as a new version.
+func applyAgain(t *testing.T, f *fleettest.Fleet) uint64 {
+	t.Helper()
+	text, err := config.FormatInventory(&f.Inventory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var applied gateway.ApplyResponse
+	request := gateway.ApplyRequest{Edit: gateway.Edit{Operation: uuid.NewString(), Author: "test"}, Inventory: string(text)}
+	if err := f.Client(0).Post(t.Context(), "/admin/config", request, &applied); err != nil {
+		t.Fatal(err)
+	}
+	return applied.Version
+}
+
+// TestRepeatedOperationTakesEffectOnce repeats an operation whose answer was
+// lost.
+func TestRepeatedOperationTakesEffectOnce(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{})
+	change := configstore.Change{Operation: "one", Author: "test", Edit: unchanged}
+	f.Platform.Set(standin.Faults{LoseAnswers: 1})
+	first, err := f.Store().Apply(t.Context(), change)
+	var unknown *result.Error
+	if err != nil && !errors.As(err, &unknown) {
+		t.Fatal(err)
+	}
+	second, err := f.Store().Apply(t.Context(), change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.Version != 0 && first.Version != second.Version {
+		t.Errorf("the operation made version %d and then %d", first.Version, second.Version)
+	}
+	if head, _, err := f.Store().Head(t.Context(), 0); err != nil || head.Version != second.Version {
+		t.Errorf("the head is version %d (%v), not %d", head.Version, err, second.Version)
+	}
+}
+
+func unchanged(s fleet.State) (fleet.State, error) { return s, nil }
