--- a/gateway/online.go
+++ b/gateway/online.go
@@ -91,6 +91,10 @@
 		writeError(w, err, id)
 		return
 	}
+	if hasDotSegment(r.URL.Path) {
+		writeError(w, result.Errorf(result.BadRequest, "the path has a segment . or .."), id)
+		return
+	}
 	req.Route = g.view().Route(r.URL.Path)
 	if req.Route == nil {
 		writeError(w, result.Errorf(result.UnknownRoute, "no route matches %s", r.URL.Path), id)
@@ -99,6 +103,17 @@
 	g.run(w, r, req)
 }
 
+// hasDotSegment tells whether an upstream might resolve the path to one of
+// another route.
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 // run serves the request and writes its answer.
 func (g *Gateway) run(w http.ResponseWriter, r *http.Request, req *serve.Request) {
 	sink := &httpSink{w: w, requestID: req.ID}
--- a/history/history.go
+++ b/history/history.go
@@ -90,6 +90,17 @@
 	return n
 }
 
+// Reasons counts the calls without an answer by outcome and content.
+func (r *Recorder) Reasons() map[string]int {
+	counts := make(map[string]int)
+	for _, c := range r.Calls() {
+		if c.Outcome != Answered {
+			counts[c.Outcome.String()+": "+c.Answer]++
+		}
+	}
+	return counts
+}
+
 // Summary returns the number of calls with each outcome, for logs of tests.
 func (r *Recorder) Summary() string {
 	return fmt.Sprintf("%d answered, %d not run, %d failed, %d unknown",
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -63,6 +63,12 @@
 	expect(t, false, history.CheckNoWorkAfter(arrivals, at(0), 800*time.Millisecond, leaving))
 }
 
+func TestNotCut(t *testing.T) {
+	arrivals := []history.Arrival{{Token: "a"}}
+	expect(t, true, history.CheckNotCut([]history.Call{{Token: "a", Outcome: history.Answered}, {Token: "b"}}, arrivals))
+	expect(t, false, history.CheckNotCut([]history.Call{{Token: "a", Outcome: history.Failed}}, arrivals))
+}
+
 func TestRefused(t *testing.T) {
 	all := func(history.Call) bool { return true }
 	expect(t, true, history.CheckRefused([]history.Call{{Outcome: history.NotRun}}, all))
--- a/history/requests.go
+++ b/history/requests.go
@@ -113,3 +113,16 @@
 	}
 	return errors.Join(errs...)
 }
+
+// CheckNotCut refuses a history in which a request reached an upstream and its
+// caller got no whole answer.
+func CheckNotCut(calls []Call, arrivals []Arrival) error {
+	counts := arrivalsByToken(arrivals)
+	var errs []error
+	for _, c := range calls {
+		if c.Outcome != Answered && counts[c.Token] > 0 {
+			errs = append(errs, fmt.Errorf("request %q reached an upstream and ended as %s: %s", c.Token, c.Outcome, c.Answer))
+		}
+	}
+	return errors.Join(errs...)
+}
--- a/prooftest/caller_test.go
+++ b/prooftest/caller_test.go
@@ -20,6 +20,10 @@
 // callTimeout bounds one request of a caller.
 const callTimeout = 10 * time.Second
 
+// stagger is the time between the starts of two callers of a group, so that
+// some request runs at any moment.
+const stagger = 53 * time.Millisecond
+
 // answerTokens is the number of tokens of every answer.
 const answerTokens = 4
 
@@ -178,7 +182,8 @@
 		group.wg.Add(1)
 		go func() {
 			defer group.wg.Done()
-			c.repeat(ctx, kind, fmt.Sprintf("kind%d-caller%d", kind, i), pause)
+			time.Sleep(time.Duration(i) * stagger)
+			c.repeat(ctx, kind, fmt.Sprintf("%s-kind%d-caller%d", c.workspace, kind, i), pause)
 		}()
 	}
 	return group
--- a/prooftest/main_test.go
+++ b/prooftest/main_test.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobablanding/baobablanding/devfleet"
+	"github.com/baobablanding/baobablanding/fleet"
 )
 
 // seedVariable names the environment variable that sets the seed.
@@ -61,6 +62,9 @@
 	return binFolder, nil
 })
 
+// ampleRate is a rate that no test exceeds.
+const ampleRate = 100000
+
 // startProcesses starts a fleet of separate processes that ends with the test.
 func startProcesses(t *testing.T, opts devfleet.Options) *devfleet.Fleet {
 	t.Helper()
@@ -72,6 +76,9 @@
 		t.Fatal(err)
 	}
 	opts.Bin = bin
+	if opts.Workspaces == nil {
+		opts.Workspaces = []fleet.Workspace{{Name: "garrafon", Rate: ampleRate, Burst: ampleRate}}
+	}
 	f, err := devfleet.Start(t.Context(), opts)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/prooftest/stop_test.go
@@ -0,0 +1,70 @@
+package prooftest_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/devfleet"
+	"github.com/baobablanding/baobablanding/history"
+)
+
+const (
+	// stopTimeout bounds a planned stop.
+	stopTimeout = 20 * time.Second
+	// warmUp is how long callers run before a test acts.
+	warmUp = time.Second
+	// streamTime is the least time of a stream in the test of planned stops.
+	streamTime = 300 * time.Millisecond
+)
+
+// TestPlannedStopCutsNothing stops a gateway and then an agent by SIGTERM while
+// streams and calls that are not idempotent run, and checks that each whole
+// answer arrives.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := startProcesses(t, devfleet.Options{
+		DataCentres: 2, Gateways: 2, Engines: 3, Services: 2,
+		EngineArgs: []string{"--prefill", "20ms", "--per-token", "100ms"},
+	})
+	var streams, orders history.Recorder
+	groups := []*callers{
+		start(t.Context(), slices.Concat(processCallers(f, &streams), processCallers(f, &streams)), stream, callPause),
+		start(t.Context(), processCallers(f, &orders), order, callPause),
+	}
+	time.Sleep(warmUp)
+	if d := stopGracefully(t, f.Process(f.Inventory.Gateways[0].Name)); d < streamTime/4 {
+		t.Errorf("the gateway stopped after %v although streams of %v ran", d, streamTime)
+	}
+	for _, name := range []string{
+		"agent-" + f.Inventory.Upstreams[0].VM,
+		"agent-" + f.Inventory.Upstreams[len(f.Inventory.Upstreams)-1].VM,
+	} {
+		stopGracefully(t, f.Process(name))
+		time.Sleep(faultPause)
+	}
+	time.Sleep(warmUp)
+	for _, g := range groups {
+		g.end()
+	}
+	arrived := arrivals(t, &f.Inventory)
+	for kind, record := range map[requestKind]*history.Recorder{stream: &streams, order: &orders} {
+		t.Logf("kind %d: %s", kind, record.Summary())
+		t.Log(record.Reasons())
+		checkRequests(t, kind, record.Calls(), arrived, f.Keys)
+		check(t, "a planned stop cuts no request", history.CheckNotCut(record.Calls(), arrived))
+	}
+}
+
+func stopGracefully(t *testing.T, p *devfleet.Process) time.Duration {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), stopTimeout)
+	defer cancel()
+	begin := time.Now()
+	if err := p.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%s stopped after %v", p.Name, time.Since(begin))
+	return time.Since(begin)
+}
