Let crossed answers of the stand-in carry another request's content

Need: with only the header crossed, a system that does not check identities would still pass the answers on correctly, so the test could not fail.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -259,8 +259,12 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	life    <-chan struct{}
+	crossed bool
 }
 
+// anotherRequest is the identity and content of crossed answers.
+const anotherRequest = "another-request"
+
 // wait waits for d. It returns false if the caller has gone or the engine was
 // restarted, which closes the connection.
 func (g *generation) wait(d time.Duration) bool {
@@ -282,7 +286,8 @@
 	e := g.engine
 	id := g.r.Header.Get("X-Request-Id")
 	if e.take(func(f *Faults) *int { return &f.CrossAnswers }) {
-		id = "another-request"
+		id = anotherRequest
+		g.crossed = true
 	}
 	g.w.Header().Set("X-Request-Id", id)
 	if !g.wait(e.prefill(g.request.text())) {
@@ -304,7 +309,14 @@
 	return true
 }
 
-func (g *generation) answerText() string { return "answer to: " + g.request.text() }
+// answerText returns the content of the answer; a crossed one is another
+// request's.
+func (g *generation) answerText() string {
+	if g.crossed {
+		return "answer to: " + anotherRequest
+	}
+	return "answer to: " + g.request.text()
+}
 
 func (g *generation) writeWhole(tokens int) {
 	writeJSON(g.w, http.StatusOK, map[string]any{
