Order batch work by fair queueing, then due time

Tried before and dropped: ranks paced by the paid rate from each job's start, moved ahead by lateness. So the order has two levels now: start-time fair queueing between workspaces, one record a workspace and model, and earliest due first within a workspace.

--- a/batch/accept.go
+++ b/batch/accept.go
@@ -49,11 +49,6 @@
 	Created     time.Time `json:"created"`
 }
 
-// shareRecord holds where the ranks of a workspace's next job start.
-type shareRecord struct {
-	Finish time.Time `json:"finish"`
-}
-
 // acceptance is one run of Accept.
 type acceptance struct {
 	s           *Store
@@ -62,6 +57,7 @@
 	requestKey  string
 	job         Job
 	lanes       map[string]*lane
+	step        policy.Rank
 }
 
 // Accept stores the job and its chunks, and returns the job once it is kept. A
@@ -74,6 +70,7 @@
 		return Job{}, err
 	}
 	a := newAcceptance(s, sub, &file)
+	a.step = policy.Step(rules.ChunkItems, sub.Workspace.Rate)
 	if job, _, err := a.earlier(ctx); err != nil || job != nil {
 		return deref(job), err
 	}
@@ -157,7 +154,7 @@
 		if err != nil {
 			return Job{}, err
 		}
-		err = a.s.table.Commit(ctx, ops...)
+		err = a.s.commit(ctx, ops)
 		switch {
 		case err == nil:
 			return a.job, nil
@@ -170,27 +167,43 @@
 }
 
 // ops returns the transaction that accepts the job.
-func (a *acceptance) ops(ctx context.Context, requestVersion uint64) ([]platform.Op, error) {
-	var share shareRecord
-	shareVersion, err := a.s.get(ctx, shareKey(a.job.Workspace), &share)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return nil, storeError(err)
-	}
-	a.job.Place = policy.Place(time.Now(), share.Finish, policy.Demand{
-		Items: a.job.Items, Chunks: a.job.Chunks, Rate: a.sub.Workspace.Rate, Due: a.job.Due,
-	})
-	share.Finish = a.job.Place.Finish
-	w := opWriter{}
+func (a *acceptance) ops(ctx context.Context, requestVersion uint64) (*opWriter, error) {
+	var w opWriter
 	w.put(jobKey(a.job.ID), a.job, 0)
 	w.put(ownerKey(&a.job), a.job.ID, 0)
 	w.put(a.requestKey, requestRecord{Job: a.job.ID, Fingerprint: a.fingerprint, Created: a.job.Created}, requestVersion)
-	w.put(shareKey(a.job.Workspace), share, shareVersion)
 	for model, l := range a.lanes {
-		l.Place = a.job.Place
-		w.put(laneKey(l), l, 0)
+		if err := a.s.enqueue(ctx, &w, l, a.step); err != nil {
+			return nil, storeError(err)
+		}
 		w.putAny(workKey(model), a.job.ID)
 	}
-	return w.ops, w.err
+	return &w, nil
+}
+
+// enqueue adds a lane to its workspace's flow, which joins the queue if it has
+// no other.
+func (s *Store) enqueue(ctx context.Context, w *opWriter, l *lane, step policy.Rank) error {
+	f := flow{Workspace: l.Workspace, Model: l.Model}
+	version, err := s.get(ctx, flowKey(l.Model, l.Workspace), &f)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	f.Step = step
+	f.Lanes++
+	if f.Lanes == 1 {
+		head, err := s.table.Scan(ctx, orderPrefix(l.Model), "", 1)
+		if err != nil {
+			return err
+		}
+		if len(head) > 0 {
+			f.Rank = policy.Join(f.Rank, orderRank(l.Model, head[0].Key), step)
+		}
+		w.put(orderKey(&f), f.Workspace, 0)
+	}
+	w.put(flowKey(f.Model, f.Workspace), f, version)
+	w.put(laneKey(l), l, 0)
+	return nil
 }
 
 // readBack finds out whether a transaction without an answer took effect.
--- a/batch/batch.go
+++ b/batch/batch.go
@@ -57,8 +57,6 @@
 	Items int `json:"items"`
 	// Chunks is the number of chunks.
 	Chunks int `json:"chunks"`
-	// Place is the job's place in the queue.
-	Place policy.Placement `json:"place"`
 	// Models lists the models that the items name.
 	Models []string `json:"models"`
 	// Created is when the job was accepted.
@@ -115,15 +113,26 @@
 	Failed int `json:"failed"`
 }
 
-// lane is the part of a job's chunks that name one model and that nobody has
-// claimed yet. Its key sorts by the rank of its next chunk.
+// flow is the place of a workspace's waiting chunks of one model in the queue.
+type flow struct {
+	Workspace string `json:"workspace"`
+	Model     string `json:"model"`
+	// Rank is the flow's place, also kept while no chunk waits.
+	Rank policy.Rank `json:"rank"`
+	// Step is how far a claimed chunk moves the rank.
+	Step policy.Rank `json:"step"`
+	// Lanes is the number of jobs with waiting chunks.
+	Lanes int `json:"lanes"`
+}
+
+// lane holds the chunks of a job that name one model and that nobody has
+// claimed yet. The lanes of a flow sort by due time.
 type lane struct {
-	Job       string           `json:"job"`
-	Workspace string           `json:"workspace"`
-	Model     string           `json:"model"`
-	Due       time.Time        `json:"due"`
-	Place     policy.Placement `json:"place"`
-	Pending   []int            `json:"pending"`
+	Job       string    `json:"job"`
+	Workspace string    `json:"workspace"`
+	Model     string    `json:"model"`
+	Due       time.Time `json:"due"`
+	Pending   []int     `json:"pending"`
 }
 
 // leaseRecord says which claim a lease belongs to. The key holds when the
@@ -168,8 +177,6 @@
 	return fmt.Sprintf("%s%016x/%s", ownerPrefix(j.Workspace), math.MaxInt64-j.Created.UnixMicro(), j.ID)
 }
 
-func shareKey(workspace string) string { return "batch/share/" + url.PathEscape(workspace) }
-
 func requestKey(workspace, key string) string {
 	return "batch/request/" + url.PathEscape(workspace) + "/" + key
 }
@@ -178,11 +185,30 @@
 
 func chunkKey(job string, index int) string { return fmt.Sprintf("%s%06d", chunkPrefix(job), index) }
 
-func lanePrefix(model string) string { return "batch/lane/" + url.PathEscape(model) + "/" }
+func flowKey(model, workspace string) string {
+	return "batch/flow/" + url.PathEscape(model) + "/" + url.PathEscape(workspace)
+}
+
+func orderPrefix(model string) string { return "batch/order/" + url.PathEscape(model) + "/" }
+
+// orderKey sorts the flows of a model that have waiting chunks by rank.
+func orderKey(f *flow) string {
+	return fmt.Sprintf("%s%016x/%s", orderPrefix(f.Model), int64(f.Rank), url.PathEscape(f.Workspace))
+}
+
+// orderRank returns the rank in an order key.
+func orderRank(model, key string) policy.Rank {
+	text, _, _ := strings.Cut(strings.TrimPrefix(key, orderPrefix(model)), "/")
+	rank, _ := strconv.ParseInt(text, 16, 64)
+	return policy.Rank(rank)
+}
+
+func lanePrefix(model, workspace string) string {
+	return "batch/lane/" + url.PathEscape(model) + "/" + url.PathEscape(workspace) + "/"
+}
 
 func laneKey(l *lane) string {
-	rank := l.Place.Rank(l.Pending[0])
-	return fmt.Sprintf("%s%016x/%s/%06d", lanePrefix(l.Model), max(rank.UnixMicro(), 0), l.Job, l.Pending[0])
+	return fmt.Sprintf("%s%016x/%s", lanePrefix(l.Model, l.Workspace), max(l.Due.UnixMilli(), 0), l.Job)
 }
 
 func leasePrefix(model string) string { return "batch/lease/" + url.PathEscape(model) + "/" }
--- a/batch/claim.go
+++ b/batch/claim.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	laneWindow = 32 // lanes that a worker chooses among
-	lapsedScan = 8  // leases that a worker looks at
-	claimTries = 3
+	lapsedScan = 8 // leases that a worker looks at
+	claimTries = 4 // flows that a worker tries
 
 	// graceParts is the part of a lease for which a worker leaves a lease that
 	// has ended alone. It covers clocks that differ.
@@ -127,38 +126,27 @@
 	return storeError(err)
 }
 
-// claimQueued claims the next chunk of one of the first lanes.
+// claimQueued claims a chunk of one of the first flows in the queue.
 func (s *Store) claimQueued(ctx context.Context, model string, w Worker) (*Claim, error) {
-	records, err := s.table.Scan(ctx, lanePrefix(model), "", laneWindow)
+	records, err := s.table.Scan(ctx, orderPrefix(model), "", claimTries)
 	if err != nil {
 		return nil, storeError(err)
 	}
-	lanes := make([]lane, len(records))
-	candidates := make([]policy.Candidate, len(records))
-	for i := range records {
-		l := &lanes[i]
-		if err := decode(&records[i], l); err != nil {
-			return nil, err
-		}
-		candidates[i] = policy.Candidate{Rank: l.Place.Rank(l.Pending[0]), Due: l.Due, Left: len(l.Pending), Step: l.Place.Step}
-	}
-	order := policy.Order(candidates, time.Now())
-	for try := range min(claimTries, len(order)) {
-		i := order[try]
-		c, err := s.takeNext(ctx, &records[i], &lanes[i], w)
+	for try := range records {
+		c, err := s.takeNext(ctx, model, &records[try], w)
 		if err != nil || c != nil {
 			return c, err
 		}
 		pause(ctx, rand.N(claimBackoff<<try))
 	}
-	if len(order) > 0 {
+	if len(records) > 0 {
 		return nil, errContended
 	}
 	return nil, nil
 }
 
-// claimBackoff is the longest wait after the first lost race for a lane.
-const claimBackoff = 20 * time.Millisecond
+// claimBackoff is the longest wait after the first lost race for a flow.
+const claimBackoff = 10 * time.Millisecond
 
 // errContended reports that other workers were faster while chunks are left.
 var errContended = errors.New("batch: claims are contended")
@@ -167,29 +155,86 @@
 // faster.
 func Contended(err error) bool { return errors.Is(err, errContended) }
 
-// takeNext claims the next chunk of a lane. It removes the lane of a job that
-// has ended.
-func (s *Store) takeNext(ctx context.Context, record *platform.Record, l *lane, w Worker) (*Claim, error) {
+// takeNext claims the next chunk of the flow that an order record names. It
+// returns nil if another worker was faster or only a job that has ended was
+// found.
+func (s *Store) takeNext(ctx context.Context, model string, order *platform.Record, w Worker) (*Claim, error) {
+	var workspace string
+	if err := decode(order, &workspace); err != nil {
+		return nil, err
+	}
+	t := taking{order: order}
+	var err error
+	if t.flowVersion, err = s.get(ctx, flowKey(model, workspace), &t.flow); err != nil {
+		return nil, storeError(err)
+	}
+	records, err := s.table.Scan(ctx, lanePrefix(model, workspace), "", 1)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	if len(records) == 0 {
+		return nil, nil // the flow changed since the order was read
+	}
+	t.lane = &records[0]
+	var l lane
+	if err := decode(t.lane, &l); err != nil {
+		return nil, err
+	}
 	job, jobVersion, err := s.job(ctx, "", l.Job)
 	if err != nil {
 		return nil, err
 	}
-	var ops opWriter
-	ops.remove(record.Key, record.Version)
 	if job.State != Active {
-		return nil, ignoreConflict(s.commit(ctx, &ops))
+		return nil, ignoreConflict(s.commit(ctx, t.skip(&l)))
 	}
-	index := l.Pending[0]
+	c := &Claim{
+		Chunk:     Chunk{Job: job.ID, Index: l.Pending[0], Model: l.Model},
+		JobRecord: job, jobVersion: jobVersion,
+	}
+	return s.commitClaim(ctx, c, t.take(&l), w)
+}
+
+// taking is what a worker read of the flow it takes a chunk of.
+type taking struct {
+	order       *platform.Record
+	flow        flow
+	flowVersion uint64
+	lane        *platform.Record
+}
+
+// skip returns the transaction that removes the lane of a job that has ended.
+func (t *taking) skip(l *lane) *opWriter {
+	rest := *l
+	rest.Pending = nil
+	return t.move(&rest, t.flow.Rank)
+}
+
+// take returns the transaction that takes a chunk off the lane.
+func (t *taking) take(l *lane) *opWriter {
 	rest := *l
 	rest.Pending = l.Pending[1:]
+	return t.move(&rest, t.flow.Rank.Next(t.flow.Step))
+}
+
+// move writes what is left of the lane and the flow's new rank.
+func (t *taking) move(rest *lane, rank policy.Rank) *opWriter {
+	w := new(opWriter)
+	next := t.flow
+	next.Rank = rank
 	if len(rest.Pending) > 0 {
-		ops.put(laneKey(&rest), rest, 0)
+		w.put(t.lane.Key, rest, t.lane.Version)
+	} else {
+		w.remove(t.lane.Key, t.lane.Version)
+		next.Lanes--
 	}
-	c := &Claim{
-		Chunk:     Chunk{Job: job.ID, Index: index, Model: l.Model},
-		JobRecord: job, jobVersion: jobVersion,
+	w.put(flowKey(next.Model, next.Workspace), next, t.flowVersion)
+	if key := orderKey(&next); key != t.order.Key || next.Lanes == 0 {
+		w.remove(t.order.Key, t.order.Version)
 	}
-	return s.commitClaim(ctx, c, &ops, w)
+	if next.Lanes > 0 {
+		w.putAny(orderKey(&next), next.Workspace)
+	}
+	return w
 }
 
 // commitClaim writes the claim under its next epoch together with ops. It
--- a/controller/dispatch/bench_test.go
+++ b/controller/dispatch/bench_test.go
@@ -41,6 +41,8 @@
 	store     *batch.Store
 	workspace *fleet.Workspace
 	rules     fleet.Rules
+	vms       int // of the inventory
+	lease     time.Duration
 	mu        sync.Mutex
 	commits   map[string]int // acknowledged commits by chunk
 }
@@ -57,7 +59,7 @@
 	return &bench{
 		t: t, platform: p, store: batch.NewStore(p.Table(time.Second), p.Objects(time.Second)),
 		workspace: &fleet.Workspace{Name: "garrafon", Rate: 1000, Burst: 1000},
-		rules:     inv.Rules, commits: make(map[string]int),
+		rules:     inv.Rules, lease: testLease, commits: make(map[string]int),
 	}
 }
 
@@ -188,11 +190,11 @@
 	spec := &fleet.Upstream{Name: name, Kind: fleet.Engine, Models: []string{testModel}, Slots: testSlots}
 	w.up = &blackboard.Upstream{Spec: spec, State: fleet.Ready, Connected: true, Load: new(blackboard.Load)}
 	w.board.Upstreams.Publish(blackboard.NewUpstreams([]*blackboard.Upstream{w.up}))
-	w.board.Config.Publish(&blackboard.Config{View: fleet.NewView(fleet.State{Inventory: fleet.Inventory{Rules: b.rules}})})
+	w.board.Config.Publish(&blackboard.Config{View: fleet.NewView(fleet.State{Inventory: fleet.Inventory{Rules: b.rules, VMs: make([]fleet.VM, b.vms)}})})
 	w.board.Phase.Publish(blackboard.Serving)
 	w.c = dispatch.New(w.board, dispatch.Options{
 		Store:  batch.NewStore(pausedTable{b.platform.Table(time.Second), w}, b.platform.Objects(time.Second)),
-		Runner: w, Holder: name, Lease: testLease,
+		Runner: w, Holder: name, Lease: b.lease,
 		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
 		Log:     &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 	})
--- a/controller/dispatch/fleet_test.go
+++ b/controller/dispatch/fleet_test.go
@@ -162,3 +162,47 @@
 	}
 	t.Logf("400 items started within %v", last.Sub(first).Round(time.Millisecond))
 }
+
+// Online requests on an engine that is full of batch items take their slots at
+// once; the items go back and end without a failure.
+func TestBatchYieldsToOnlineRequests(t *testing.T) {
+	const burst = 8
+	engine := standin.DefaultEngine
+	engine.PerToken = 200 * time.Millisecond
+	f := fleettest.Start(t, fleettest.Options{Engine: engine, Rules: fleet.Rules{ChunkItems: 20}})
+	job, _ := create(f, 0, upload(t, f, 0, prompts(40)))
+	f.Eventually("batch fills the engine", func() bool { return f.Engines[0].Running() == burst })
+	took := make(chan time.Duration, burst)
+	start := time.Now()
+	for i := range burst {
+		go func() {
+			if status, body := f.Chat(context.Background(), 0, tenant, fmt.Sprint("online ", i), false); status != http.StatusOK {
+				t.Errorf("online request: %d %s", status, body)
+			}
+			took <- time.Since(start)
+		}()
+	}
+	var slowest time.Duration
+	for range burst {
+		slowest = max(slowest, <-took)
+	}
+	alone := engine.Prefill + 4*engine.PerToken
+	t.Logf("the slowest online request took %v, %v alone", slowest.Round(time.Millisecond), alone)
+	if slowest > alone+alone/4 {
+		t.Errorf("online requests waited for batch items")
+	}
+	job = awaitStatus(f, 0, job.ID, "completed")
+	if job.RequestCounts.Completed != 40 || job.RequestCounts.Failed != 0 {
+		t.Errorf("job = %+v", job)
+	}
+	runs := 0
+	for _, s := range f.Engines[0].Seen() {
+		if strings.HasPrefix(s.Prompt, "prompt") {
+			runs++
+		}
+	}
+	if runs <= 40 {
+		t.Errorf("%d items ran, want some to have been preempted", runs)
+	}
+	t.Logf("40 items ran %d times", runs)
+}
--- a/policy/batch/order.go
+++ b/policy/batch/order.go
@@ -1,107 +1,34 @@
 // Package batch decides the order of batch work and estimates when a job ends.
 package batch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
-// MaxAdvance is the longest time by which a near due time moves a job ahead of
-// its fair place.
-const MaxAdvance = time.Hour
+// Order: start-time fair queueing between workspaces, earliest due time first
+// within a workspace.
+//
+// A workspace with waiting chunks has a rank, a point of virtual time; the
+// workspace with the lowest rank is served next. Each claimed chunk moves the
+// rank by the time that the chunk takes at the rate that the workspace pays
+// for. Of the workspace's jobs, the one that is due first gives the chunk.
 
-// Placement is the place of a job in the queue.
-type Placement struct {
-	// Start is the rank of the job's first chunk.
-	Start time.Time `json:"start"`
-	// Step is the distance between the ranks of two chunks.
-	Step time.Duration `json:"step"`
-	// Finish is where the workspace's next job starts at the earliest.
-	Finish time.Time `json:"finish"`
-}
+// Rank is a point of virtual time in microseconds.
+type Rank int64
 
-// Demand describes the work of a new job.
-type Demand struct {
-	// Items is the number of items.
-	Items int
-	// Chunks is the number of chunks.
-	Chunks int
-	// Rate is the number of items a second that the workspace pays for.
-	Rate float64
-	// Due is when the job should be complete.
-	Due time.Time
+// Step returns how far a chunk of the given number of items moves the rank of a
+// workspace that pays for rate items a second.
+func Step(items int, rate float64) Rank {
+	return max(Rank(float64(items)/rate*float64(time.Second/time.Microsecond)), 1)
 }
 
-// Place gives a new job its place. The ranks of a workspace's chunks advance
-// at the workspace's own rate, job after job, so that a workspace with much
-// work does not delay the others. A job that would end after its due time at
-// that rate moves ahead by its lateness, at most by MaxAdvance. The finish is
-// that of the workspace's last job, or zero.
-func Place(now, finish time.Time, d Demand) Placement {
-	start := now
-	if finish.After(now) {
-		start = finish
-	}
-	length := time.Duration(float64(d.Items) / d.Rate * float64(time.Second))
-	end := start.Add(length)
-	late := min(max(end.Sub(d.Due), 0), MaxAdvance)
-	return Placement{
-		Start:  start.Add(-late),
-		Step:   length / time.Duration(d.Chunks),
-		Finish: end,
-	}
+// Join returns the rank of a workspace that has work again. It continues from
+// its last rank, at most one step behind the head of the queue, so that neither
+// idle time is saved up nor the use of an idle fleet held against it.
+func Join(last, head, step Rank) Rank {
+	return min(max(last, head), head+step)
 }
 
-// Rank returns the rank of a chunk; the lowest is claimed first.
-func (p Placement) Rank(chunk int) time.Time {
-	return p.Start.Add(time.Duration(chunk) * p.Step)
-}
-
-// Candidate is a job with chunks that can be claimed.
-type Candidate struct {
-	// Rank is the rank of the job's next chunk.
-	Rank time.Time
-	// Due is when the job should be complete.
-	Due time.Time
-	// Left is the number of its chunks that nobody has claimed.
-	Left int
-	// Step is the distance between the ranks of two chunks.
-	Step time.Duration
-}
-
-// urgent tells whether the job can still meet its due time but only if its
-// remaining chunks are claimed at once.
-func (c *Candidate) urgent(now time.Time) bool {
-	return c.Due.After(now) && c.Due.Sub(now) < time.Duration(c.Left)*c.Step
-}
-
-// Order returns the indices of the candidates in the order in which to claim
-// them: urgent jobs whose rank is within MaxAdvance of the lowest by due time,
-// then the others by rank.
-func Order(candidates []Candidate, now time.Time) []int {
-	if len(candidates) == 0 {
-		return nil
-	}
-	head := candidates[0].Rank
-	for i := range candidates {
-		if candidates[i].Rank.Before(head) {
-			head = candidates[i].Rank
-		}
-	}
-	limit := head.Add(MaxAdvance)
-	var urgent, others []int
-	for i := range candidates {
-		c := &candidates[i]
-		if c.urgent(now) && !c.Rank.After(limit) {
-			urgent = append(urgent, i)
-		} else {
-			others = append(others, i)
-		}
-	}
-	slices.SortStableFunc(urgent, func(a, b int) int { return candidates[a].Due.Compare(candidates[b].Due) })
-	slices.SortStableFunc(others, func(a, b int) int { return candidates[a].Rank.Compare(candidates[b].Rank) })
-	return append(urgent, others...)
-}
+// Next returns the rank after one chunk.
+func (r Rank) Next(step Rank) Rank { return r + step }
 
 const (
 	minPoll       = 250 * time.Millisecond
