--- a/controller/dispatch/claims_test.go
+++ b/controller/dispatch/claims_test.go
@@ -221,3 +221,41 @@
 }
 
 var _ platform.Table = pausedTable{}
+
+// After an outage that outlasts every lease, holders go on with their chunks
+// although idle workers look for work.
+func TestOutageDoesNotMoveChunks(t *testing.T) {
+	b := newBench(t)
+	job := b.submit(prompts(4 * chunkItems)...)
+	var workers []*worker
+	for i := range 4 {
+		workers = append(workers, b.worker(fmt.Sprint("worker-", i), 300*time.Millisecond))
+	}
+	b.eventually("every worker runs items", func() bool {
+		for _, w := range workers {
+			if w.started.Load() == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	b.platform.Set(standin.Faults{Outage: true})
+	time.Sleep(2 * testLease)
+	idle := b.worker("idle", time.Millisecond)
+	time.Sleep(testLease)
+	b.platform.Set(standin.Faults{})
+	b.await(&job, batch.Completed)
+	b.checkOnce(&job, 0)
+	if n := idle.started.Load(); n > 0 {
+		t.Errorf("an idle worker ran %d items of chunks that were held", n)
+	}
+	chunks, err := b.store.Chunks(context.Background(), job.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range chunks {
+		if chunks[i].Epoch != 1 {
+			t.Errorf("chunk %d was claimed %d times", i, chunks[i].Epoch)
+		}
+	}
+}
