--- a/devfleet/process.go
+++ b/devfleet/process.go
@@ -94,6 +94,16 @@
 	return nil
 }
 
+// ended tells whether the process has ended.
+func (p *Process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // PID returns the process id.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
