--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -32,6 +32,7 @@
 		{Method: http.MethodGet, Path: "/admin/in-force", Handler: g.withOperator(g.showInForce)},
 		{Method: http.MethodGet, Path: "/admin/upstreams", Handler: g.withOperator(g.showUpstreams)},
 		{Method: http.MethodGet, Path: "/admin/workspaces", Handler: g.withOperator(g.showWorkspaces)},
+		{Method: http.MethodGet, Path: BurnPath, Handler: g.withOperator(g.showBurn)},
 		{Method: http.MethodGet, Path: "/admin/jobs", Handler: g.withOperator(g.showJobs)},
 	}
 }
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -24,6 +24,7 @@
 	tried     []string
 	started   bool
 	firstByte time.Time
+	tracker   tracker
 }
 
 // attempts tries upstreams until one answers or no further attempt is allowed.
@@ -141,6 +142,7 @@
 			return err
 		}
 	}
+	c.tracker.chunk()
 	return c.write(part.Data)
 }
 
