Lend shares of the rates between gateways

Need: an even static split refuses requests that are within the workspace's rate when its traffic is skewed, and refuses everything when the burst is smaller than the number of gateways (a bucket of 0.375 tokens never holds one).

Each gateway owns an even base share. Pairwise loans with an end move rate, burst and tokens; the lender lowers its share before it answers and restores it after the end and a margin; the borrower counts from its sending. A workspace's home (first by rendezvous hash among the gateways that are reached) gathers what others do not use, and admits single requests for gateways that have no token. A limiter's state is one word and is replaced as a whole when a share changes. A new process starts empty, and with its base only after its peers have dropped the former one's loans; a higher base applies after all gateways of the old and new inventory report the version. Requests use a fresh time, not the time of receipt, and are admitted again when more than 150 ms passed before forwarding.

Ruled out: a home that owns the whole rate under a lease in the table (nobody can take over during an outage of the store); changing rate and level in two words (a preempted thread can add the same time twice).

--- /dev/null
+++ b/controller/limits/ledger_test.go
@@ -0,0 +1,183 @@
+package limits
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// tolerance allows for the rounding of times to nanoseconds.
+const tolerance = 1e-5
+
+// TestRateHoldsThroughRandomFaults runs random schedules of requests, lost and
+// late messages, pauses, cuts, deaths and restarts.
+func TestRateHoldsThroughRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gateways := rapid.IntRange(1, 6).Draw(t, "gateways")
+		rate := rapid.SampledFrom([]float64{0.5, 3, 40, 200}).Draw(t, "rate")
+		burst := rapid.SampledFrom([]int{1, 3, 20}).Draw(t, "burst")
+		s := newSimulation(rapid.Int64().Draw(t, "seed"), gateways, rate, burst, faults{})
+		s.loss = rapid.SampledFrom([]float64{0, 0.05, 0.5}).Draw(t, "loss")
+		s.maxDelay = rapid.SampledFrom([]time.Duration{3 * time.Millisecond, 100 * time.Millisecond, 8 * time.Second}).Draw(t, "delay")
+		s.disturb(rapid.IntRange(100, 3000).Draw(t, "steps"))
+		if e := excess(s.admitted, rate, float64(burst)); e > tolerance {
+			t.Fatalf("%d admitted, the worst window exceeds the limit by %.6f", len(s.admitted), e)
+		}
+	})
+}
+
+// disturb sends requests while faults happen at random.
+func (s *simulation) disturb(steps int) {
+	for range steps {
+		s.advance(time.Duration(s.random.Int63n(int64(40 * time.Millisecond))))
+		g := s.gateways[s.random.Intn(len(s.gateways))]
+		switch s.random.Intn(60) {
+		case 0:
+			if g.alive {
+				g.kill()
+			}
+		case 1, 2:
+			if !g.alive {
+				g.start()
+			}
+		case 3:
+			g.paused = s.now.Add(time.Duration(s.random.Int63n(int64(8 * time.Second))))
+		case 4:
+			g.cut[s.random.Intn(len(s.gateways))] = true
+		case 5, 6:
+			g.cut = map[int]bool{}
+		case 7:
+			s.advance(time.Duration(s.random.Int63n(int64(6 * time.Second))))
+		default:
+			for range 1 + s.random.Intn(6) {
+				s.request(s.random.Intn(len(s.gateways)))
+			}
+		}
+	}
+}
+
+// TestEachPartOfTheMechanismIsNeeded runs the same schedules with one part of
+// the mechanism switched off and expects the limit to be exceeded, and with the
+// whole mechanism, which must hold it.
+func TestEachPartOfTheMechanismIsNeeded(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults faults
+		worst  func(faults) float64
+	}{
+		{"lender keeps what it lent", faults{keepLent: true}, worstOfSchedules},
+		{"borrower ignores the end", faults{ignoreEnd: true}, worstOfSchedules},
+		{"lender restores early", faults{restoreEarly: true}, worstOfSchedules},
+		{"new process uses its base share at once", faults{startAtOnce: true}, restartWhileLent},
+		{"higher base share applies at once", faults{raiseAtOnce: true}, replacedWhileCutOff},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			without, with := c.worst(c.faults), c.worst(faults{})
+			t.Logf("worst excess: %.3f requests without, %.3f with", without, with)
+			if without <= tolerance {
+				t.Errorf("the schedules do not need this part")
+			}
+			if with > tolerance {
+				t.Errorf("the limit was exceeded by %.3f", with)
+			}
+		})
+	}
+}
+
+// worstOfSchedules returns the largest excess of many schedules.
+func worstOfSchedules(f faults) float64 {
+	const schedules, steps, rate, burst = 40, 800, 40, 20
+	worst := -float64(burst)
+	for seed := range schedules {
+		s := newSimulation(int64(seed), 3, rate, burst, f)
+		s.disturb(steps)
+		worst = max(worst, excess(s.admitted, rate, burst))
+	}
+	return worst
+}
+
+// saturate sends far more than the rate to every gateway.
+func (s *simulation) saturate(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.advance(5 * time.Millisecond)
+		for i := range s.gateways {
+			s.request(i)
+		}
+	}
+}
+
+// restartWhileLent replaces the process of a gateway while the workspace's home
+// holds its share and is cut off from it.
+func restartWhileLent(f faults) float64 {
+	const rate, burst = 40, 4
+	s := newSimulation(1, 3, rate, burst, f)
+	s.advance(4 * time.Second)
+	var home, other *simGateway
+	for _, g := range s.gateways {
+		if len(g.ledger.spaces[simWorkspace].Account().In) > 0 {
+			home = g
+		} else {
+			other = g
+		}
+	}
+	home.cut[other.index] = true
+	other.kill()
+	other.start()
+	s.saturate(5 * time.Second)
+	return excess(s.admitted, rate, burst)
+}
+
+// replacedWhileCutOff replaces one gateway of the inventory by another while
+// the former is cut off and follows the old configuration.
+func replacedWhileCutOff(f faults) float64 {
+	const rate, burst = 40, 4
+	s := newSimulation(1, 3, rate, burst, f)
+	s.advance(4 * time.Second)
+	former := s.gateways[2]
+	former.cut[0], former.cut[1], former.cut[3] = true, true, true
+	s.view = simView(2, []int{0, 1, 3}, rate, burst)
+	s.gateways[0].configure(s.view)
+	s.gateways[1].configure(s.view)
+	s.add(3)
+	s.saturate(10 * time.Second)
+	return excess(s.admitted, rate, burst)
+}
+
+// TestChangedRatesAndGateways changes the configuration at other times on each
+// gateway: the larger of the limits holds always, and the new one once no loan
+// of the old configuration is left.
+func TestChangedRatesAndGateways(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const oldRate, oldBurst, oldCount = 40, 8, 3
+		rate := rapid.SampledFrom([]float64{5, 20, 80}).Draw(t, "rate")
+		burst := rapid.SampledFrom([]int{2, 8, 30}).Draw(t, "burst")
+		count := rapid.IntRange(1, 6).Draw(t, "gateways")
+		s := newSimulation(rapid.Int64().Draw(t, "seed"), oldCount, oldRate, oldBurst, faults{})
+		s.saturate(4 * time.Second)
+		view := simView(2, upTo(count), rate, burst)
+		s.view = view
+		for _, g := range slices.Clone(s.gateways) {
+			s.after(time.Duration(s.random.Int63n(int64(3*time.Second))), g, func() { g.configure(view) })
+		}
+		s.saturate(time.Second)
+		for i := oldCount; i < count; i++ {
+			s.add(i)
+		}
+		s.saturate(10 * time.Second)
+		larger, more := max(rate, oldRate), float64(max(burst, oldBurst))
+		if e := excess(s.admitted, larger, more); e > tolerance {
+			t.Fatalf("during the change the limit was exceeded by %.6f", e)
+		}
+		s.admitted = nil
+		s.saturate(3 * time.Second)
+		if e := excess(s.admitted, rate, float64(burst)); e > tolerance {
+			t.Fatalf("after the change the limit was exceeded by %.6f", e)
+		}
+		if got, want := float64(len(s.admitted)), 0.8*rate*3; got < want {
+			t.Fatalf("after the change only %.0f requests were admitted, want at least %.0f", got, want)
+		}
+	})
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
@@ -56,7 +57,9 @@
 	g.gateways = peer.NewPool(nil, members.Link)
 	members.SetMessenger(g.gateways)
 	g.controllers.run(configsync.New(g.board, configs, logger).Run)
-	g.controllers.run(limits.New(g.board).Run)
+	rates := limits.New(g.board, settings.Name, limits.NewMetrics(reg))
+	rates.SetCaller(g.gateways)
+	g.controllers.run(rates.Run)
 	g.controllers.run(ups.Run)
 	g.controllers.run(members.Run)
 
@@ -66,16 +69,40 @@
 	if g.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
 		return err
 	}
-	if g.peers, err = peer.Listen(settings.Peer, members.Handlers(), nil); err != nil {
+	if g.peers, err = peer.Listen(settings.Peer, merge(members.Handlers(), rates.Handlers()), nil); err != nil {
 		return err
 	}
 	if g.http, err = front.Listen(); err != nil {
 		return err
 	}
-	g.board.Phase.Publish(blackboard.Serving)
+	g.controllers.run(func(ctx context.Context) { g.serveAfter(ctx, rates.Started()) })
 	return nil
 }
 
+// serveAfter starts to serve when the channel is closed.
+func (g *Gateway) serveAfter(ctx context.Context, started <-chan struct{}) {
+	select {
+	case <-started:
+	case <-ctx.Done():
+		return
+	}
+	g.board.Phase.Update(func(p blackboard.Phase) blackboard.Phase {
+		if p == blackboard.Starting {
+			return blackboard.Serving
+		}
+		return p
+	})
+}
+
+// merge returns the handlers of all sets.
+func merge(sets ...peer.Handlers) peer.Handlers {
+	all := peer.Handlers{}
+	for _, set := range sets {
+		maps.Copy(all, set)
+	}
+	return all
+}
+
 // statusHandlers returns the handlers of what agents report.
 func statusHandlers(ups *upstreams.Controller) peer.Handlers {
 	return peer.Handlers{
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -340,6 +341,9 @@
 			if f.Client(i).Get(context.Background(), "/admin/upstreams", &ups) != nil {
 				return false
 			}
+			if !f.ready(i) {
+				return false
+			}
 			usable := 0
 			for _, u := range ups {
 				if u.Connected && (u.State == "ready" || u.State == "cold") {
@@ -351,6 +355,16 @@
 	}
 }
 
+// ready tells whether the gateway with the given index takes requests.
+func (f *Fleet) ready(i int) bool {
+	resp, err := http.Get(f.URL(i) + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // WaitVersion waits until every running gateway has the version in force.
 func (f *Fleet) WaitVersion(version uint64) {
 	f.t.Helper()
--- a/serve/admit.go
+++ b/serve/admit.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -9,12 +10,12 @@
 )
 
 // admit checks the request against the configuration and the workspace's rate.
-func (s *Server) admit(view *fleet.View, req *Request) (*call, error) {
+func (s *Server) admit(ctx context.Context, view *fleet.View, req *Request) (*call, error) {
 	if view == nil {
 		return nil, result.New(result.ConfigMissing, result.NotRun)
 	}
-	if s.board.Phase.Value() != blackboard.Serving {
-		return nil, result.New(result.Draining, result.NotRun).After(time.Second)
+	if err := s.checkPhase(); err != nil {
+		return nil, err
 	}
 	c := &call{Request: req, view: view}
 	if req.Route == nil || !req.Route.Open {
@@ -30,7 +31,7 @@
 		}
 	}
 	if c.workspace != nil {
-		if err := s.takeRate(c.workspace.Name, req.Received); err != nil {
+		if err := s.takeRate(ctx, c); err != nil {
 			return nil, err
 		}
 	}
@@ -68,17 +69,51 @@
 	return nil
 }
 
-func (s *Server) takeRate(workspace string, now time.Time) error {
-	limiter := s.board.Limits.Value().ByWorkspace[workspace]
+// maxAdmissionAge is how old an admission may be when the request is forwarded.
+// It is shorter than the margin by which a lender counts a loan longer than its
+// borrower.
+const maxAdmissionAge = 150 * time.Millisecond
+
+// takeRate admits the call by its workspace's rate. It asks another gateway at
+// most once, when this one has no token.
+func (s *Server) takeRate(ctx context.Context, c *call) error {
+	limiter := s.board.Limits.Value().ByWorkspace[c.workspace.Name]
 	if limiter == nil {
 		return result.New(result.RateExceeded, result.NotRun).After(time.Second)
 	}
-	if ok, wait := limiter.Take(now); !ok {
-		return result.New(result.RateExceeded, result.NotRun).After(wait)
+	c.admitted = time.Now()
+	ok, wait := limiter.Take(c.admitted)
+	if ok {
+		return nil
+	}
+	admitted, ok, longer := limiter.Ask(ctx)
+	if !ok {
+		return result.New(result.RateExceeded, result.NotRun).After(max(wait, longer))
 	}
+	c.admitted = admitted
 	return nil
 }
 
+// confirm admits the call again if the process was paused after its admission:
+// the share that admitted it may since have gone to another gateway.
+func (s *Server) confirm(ctx context.Context, c *call) error {
+	if c.workspace == nil || time.Since(c.admitted) <= maxAdmissionAge {
+		return nil
+	}
+	return s.takeRate(ctx, c)
+}
+
+func (s *Server) checkPhase() error {
+	switch s.board.Phase.Value() {
+	case blackboard.Serving:
+		return nil
+	case blackboard.Starting:
+		return result.Errorf(result.ConfigMissing, "the gateway is starting").After(time.Second)
+	default:
+		return result.New(result.Draining, result.NotRun).After(time.Second)
+	}
+}
+
 func routeName(req *Request) string {
 	if req.Route != nil {
 		return req.Route.Name
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -24,6 +24,7 @@
 	tried     []string
 	started   bool
 	firstByte time.Time
+	admitted  time.Time // when the rate admitted it
 }
 
 // attempts tries upstreams until one answers or no further attempt is allowed.
--- a/serve/server.go
+++ b/serve/server.go
@@ -31,7 +31,7 @@
 // *result.Error; once sink was started, it means that the answer broke off.
 func (s *Server) Serve(ctx context.Context, req *Request, sink Sink) error {
 	view := s.board.Config.Value().View
-	call, err := s.admit(view, req)
+	call, err := s.admit(ctx, view, req)
 	if err != nil {
 		s.metrics.refused(err)
 		return err
@@ -39,7 +39,9 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, view.Inventory.Rules.RequestTimeout, context.DeadlineExceeded)
 	defer cancel()
 	call.sink = sink
-	err = s.attempts(ctx, call)
+	if err = s.confirm(ctx, call); err == nil {
+		err = s.attempts(ctx, call)
+	}
 	s.metrics.done(call, err)
 	return err
 }
