Grant batch items from what online requests leave of the rate

Need: batch items draw on the workspace's rate, after online requests.

Sessions are symmetric, so no new connection is needed.

go test ./agent -run Allowance: an answer ends the search, a failing gateway is passed over.

--- /dev/null
+++ b/agent/allowance_test.go
@@ -0,0 +1,66 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/agent"
+	"github.com/baobablanding/baobablanding/peer"
+	"github.com/baobablanding/baobablanding/result"
+)
+
+// gateways connects n gateways, of which the first ones answer with an error.
+func gateways(t *testing.T, server *peer.Server, n, failing int, asked *atomic.Int64) {
+	t.Helper()
+	for i := range n {
+		pool := peer.NewPool(peer.Handlers{
+			peer.MethodTake: func(_ context.Context, _ *peer.Session, params json.RawMessage) (any, error) {
+				asked.Add(1)
+				req, err := peer.Decode[peer.TakeRequest](params)
+				if err != nil || i < failing {
+					return nil, result.New(result.Draining, result.NotRun)
+				}
+				return peer.TakeResponse{Granted: req.Tokens - 1, RetryAfter: time.Millisecond}, nil
+			},
+		}, nil)
+		t.Cleanup(pool.Close)
+		pool.SetAddresses([]string{server.Addr()})
+	}
+	for deadline := time.Now().Add(5 * time.Second); len(server.Sessions()) < 2*n; {
+		if time.Now().After(deadline) {
+			t.Fatal("the gateways did not connect")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestAllowanceAsksGatewaysInTurn(t *testing.T) {
+	cases := []struct {
+		name             string
+		gateways, failed int
+		granted          int
+		asked            int64
+	}{
+		{"one answers", 1, 0, 4, 1},
+		{"none is connected", 0, 0, 0, 0},
+		{"every one fails", 2, 2, 0, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server, err := peer.Listen("127.0.0.1:0", nil, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(server.Close)
+			var asked atomic.Int64
+			gateways(t, server, c.gateways, c.failed, &asked)
+			granted, retry := agent.NewAllowance(server.Sessions).Take(context.Background(), "w", 5)
+			if granted != c.granted || retry == 0 || asked.Load() != c.asked {
+				t.Errorf("granted %d, retry after %s, %d asked", granted, retry, asked.Load())
+			}
+		})
+	}
+}
--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -21,6 +21,11 @@
 	tickInterval = 250 * time.Millisecond
 	callTimeout  = time.Second
 	probeTimeout = time.Second
+
+	// minBatchRetry and maxBatchRetry bound when an agent asks again for batch
+	// items.
+	minBatchRetry = 50 * time.Millisecond
+	maxBatchRetry = time.Second
 )
 
 // Caller sends requests to other gateways.
@@ -203,6 +208,41 @@
 	}
 }
 
+// AgentHandlers returns the handlers of agents' requests.
+func (c *Controller) AgentHandlers() peer.Handlers {
+	return peer.Handlers{
+		peer.MethodTake: func(_ context.Context, _ *peer.Session, params json.RawMessage) (any, error) {
+			req, err := peer.Decode[peer.TakeRequest](params)
+			if err != nil {
+				return nil, err
+			}
+			return c.takeBatch(req), nil
+		},
+	}
+}
+
+// takeBatch admits batch items by what is above the reserve of online requests,
+// here or at the workspace's home.
+func (c *Controller) takeBatch(req peer.TakeRequest) peer.TakeResponse {
+	w, _ := c.board.Limits.Value().ByWorkspace[req.Workspace].(*workspace)
+	if w == nil || req.Tokens <= 0 || c.board.Phase.Value() != blackboard.Serving {
+		return peer.TakeResponse{RetryAfter: time.Second}
+	}
+	granted, wait := w.takeFor(share.Ask{Tokens: req.Tokens, Batch: true}, time.Now())
+	if granted > 0 {
+		c.metrics.batch.Add(float64(granted))
+		return peer.TakeResponse{Granted: granted}
+	}
+	asked := c.ask(w, req.Tokens, true)
+	if asked.tokens > 0 {
+		return peer.TakeResponse{Granted: asked.tokens}
+	}
+	if asked.wait > 0 {
+		wait = asked.wait
+	}
+	return peer.TakeResponse{RetryAfter: min(maxBatchRetry, max(minBatchRetry, wait))}
+}
+
 // probe looks whether borrowers that are not connected have ended. A process
 // that is paused or cut off does not refuse a connection.
 func (c *Controller) probe(ctx context.Context) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -35,6 +37,14 @@
 	return s.conn.Notify(ctx, method, params)
 }
 
+// Call sends a request and waits for its answer.
+func (s *Session) Call(ctx context.Context, method string, params, value any) error {
+	if err := s.conn.Call(ctx, method, params, value); err != nil {
+		return decodeError(err)
+	}
+	return nil
+}
+
 // Done returns a channel that is closed when the connection is lost.
 func (s *Session) Done() <-chan struct{} { return s.conn.DisconnectNotify() }
 
@@ -116,16 +126,17 @@
 	s.mu.Unlock()
 }
 
+// Sessions returns the present connections in no particular order.
+func (s *Server) Sessions() []*Session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.sessions))
+}
+
 // Broadcast sends a notification on every connection. Connections that are
 // lost are passed over.
 func (s *Server) Broadcast(ctx context.Context, method string, params any) {
-	s.mu.Lock()
-	sessions := make([]*Session, 0, len(s.sessions))
-	for session := range s.sessions {
-		sessions = append(sessions, session)
-	}
-	s.mu.Unlock()
-	for _, session := range sessions {
+	for _, session := range s.Sessions() {
 		_ = session.Notify(ctx, method, params)
 	}
 }
