--- a/controller/limits/ledger.go
+++ b/controller/limits/ledger.go
@@ -18,6 +18,9 @@
 // neither the store nor a peer keeps serving.
 const silentLimit = 30 * time.Second
 
+// silentFactor is the same as a multiple of the isolation rule.
+const silentFactor = 3
+
 // faults switches parts of the mechanism off, for tests that show what each
 // part is for.
 type faults struct {
@@ -48,6 +51,7 @@
 	active   bool          // the base shares may be used
 	started  chan struct{} // closed when serving
 	reported uint64
+	serial   uint64 // of the last loan
 	sampled  time.Time
 }
 
@@ -179,14 +183,42 @@
 }
 
 // followedBy returns the version that the gateway's shares follow, and whether
-// it has certainly stopped.
+// it has stopped.
 func (l *Ledger) followedBy(gateway string, now time.Time) (uint64, bool) {
 	if gateway == l.self {
 		return l.view.Version, false
 	}
 	p := l.peer(gateway, now)
-	removed := !l.eras[len(l.eras)-1].Has(gateway)
-	return p.version, p.gone || (removed && now.Sub(p.heard) > silentLimit)
+	return p.version, p.gone || l.stoppedAlone(gateway, now)
+}
+
+// stoppedAlone tells whether a removed gateway is silent for so long that it no
+// longer serves. Silent gateways that are more than half of an inventory may
+// keep each other in service.
+func (l *Ledger) stoppedAlone(gateway string, now time.Time) bool {
+	if !l.silent(gateway, now) {
+		return false
+	}
+	for _, e := range l.eras {
+		count := 0
+		for _, g := range e.Gateways {
+			if l.silent(g, now) {
+				count++
+			}
+		}
+		if e.Has(gateway) && 2*count > len(e.Gateways) {
+			return false
+		}
+	}
+	return true
+}
+
+// silent tells whether a removed gateway was not heard of for long.
+func (l *Ledger) silent(gateway string, now time.Time) bool {
+	if l.eras[len(l.eras)-1].Has(gateway) {
+		return false
+	}
+	return now.Sub(l.peer(gateway, now).heard) > max(silentLimit, silentFactor*l.view.Inventory.Rules.Isolation)
 }
 
 // loansOver tells whether no loan of a former process of this gateway is in use
@@ -256,6 +288,9 @@
 	if !l.hear(req.ShareHeader, now) {
 		return peer.LendResponse{}, result.Errorf(result.FencedOrder, "another process of %s has announced itself", req.From)
 	}
+	for _, r := range req.Returns {
+		l.takeBack(r, req.From, now)
+	}
 	resp := peer.LendResponse{ShareHeader: l.header()}
 	for _, ask := range req.Asks {
 		w := l.spaces[ask.Workspace]
@@ -283,11 +318,14 @@
 		lender := share.Lender{Account: a, Level: level, Demand: w.demand(), Gateways: l.gateways()}
 		lent, tokens, life, ok := lender.Decide(ask, from, now)
 		if !ok {
+			_, g.Recall = a.LoanTo(from)
 			return a, level
 		}
-		g.Lent, g.Level, g.Life = &lent, tokens, life
+		l.serial++
+		g.Lent, g.Level, g.Life, g.Serial = &lent, tokens, life, l.serial
 		l.metrics.loans.Inc()
-		return l.lower(a, level, tokens, share.Loan{Peer: from, Amount: lent, End: now.Add(life + share.Margin)})
+		loan := share.Loan{Peer: from, Amount: lent, Serial: l.serial, Idle: ask.Idle, End: now.Add(life + share.Margin)}
+		return l.lower(a, level, tokens, loan)
 	})
 	return g
 }
@@ -303,6 +341,21 @@
 	return a.WithOut(loan), level - tokens
 }
 
+// takeBack restores a loan that its borrower has stopped to use.
+func (l *Ledger) takeBack(r share.Return, from string, now time.Time) {
+	w := l.spaces[r.Workspace]
+	if w == nil {
+		return
+	}
+	w.Change(now, func(a share.Account, level float64) (share.Account, float64) {
+		restored, ok := a.Returned(from, r.Serial)
+		if !ok {
+			return a, level
+		}
+		return restored, level + r.Level
+	})
+}
+
 // Borrow takes in the answer to a request that was sent at the given time.
 func (l *Ledger) Borrow(resp peer.LendResponse, sent, now time.Time) {
 	l.mu.Lock()
@@ -311,8 +364,13 @@
 		return
 	}
 	for _, g := range resp.Grants {
-		if g.Lent != nil && l.spaces[g.Workspace] != nil {
-			l.borrow(l.spaces[g.Workspace], g, resp.From, sent, now)
+		w := l.spaces[g.Workspace]
+		switch {
+		case w == nil:
+		case g.Lent != nil:
+			l.borrow(w, g, resp.From, sent, now)
+		case g.Recall:
+			w.recalled(resp.From)
 		}
 	}
 }
@@ -327,7 +385,7 @@
 	}
 	l.metrics.borrowed.Inc()
 	w.Change(now, func(a share.Account, level float64) (share.Account, float64) {
-		return a.With(share.Loan{Peer: from, Amount: *g.Lent, End: end}), level + g.Level
+		return a.With(share.Loan{Peer: from, Amount: *g.Lent, Serial: g.Serial, Idle: g.Life > share.LoanLife, End: end}), level + g.Level
 	})
 }
 
--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -114,7 +114,7 @@
 	}
 	reachable := c.reachable()
 	c.announce(ctx)
-	for _, out := range c.ledger.Renewals(reachable, now) {
+	for _, out := range append(c.ledger.Returns(reachable, now), c.ledger.Renewals(reachable, now)...) {
 		go c.lend(ctx, out, callTimeout)
 	}
 	key := joinKey(reachable)
--- a/controller/limits/plan.go
+++ b/controller/limits/plan.go
@@ -87,6 +87,35 @@
 	return all
 }
 
+// Returns returns the requests that give back loans early: those that their
+// lender needs, those that this gateway no longer needs, and those that it
+// gathered as the home of a workspace that has another home now.
+func (l *Ledger) Returns(reachable []string, now time.Time) []outgoing {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.self == "" {
+		return nil
+	}
+	candidates := append([]string{l.self}, reachable...)
+	returns := make(map[string][]share.Return)
+	for name, w := range l.spaces {
+		home := share.Home(name, candidates)
+		for _, in := range w.Account().In {
+			if !w.unneeded(in, home == l.self, now) {
+				continue
+			}
+			if r, ok := w.giveBack(in.Peer, now); ok {
+				returns[in.Peer] = append(returns[in.Peer], r)
+			}
+		}
+	}
+	var all []outgoing
+	for to, list := range returns {
+		all = append(all, outgoing{to: to, request: peer.LendRequest{ShareHeader: l.header(), Returns: list}})
+	}
+	return all
+}
+
 // Question returns the request that asks the workspace's home for tokens, or
 // false when the home is here.
 func (l *Ledger) Question(w *workspace, tokens int, batch bool, reachable []string) (outgoing, bool) {
--- a/controller/limits/question.go
+++ b/controller/limits/question.go
@@ -26,6 +26,22 @@
 	wait   time.Duration
 }
 
+// backoff decides how long to ask nothing.
+type backoff struct {
+	last time.Duration
+}
+
+// after returns the time without questions after an answer. It doubles while
+// the answers grant less than was asked for.
+func (b *backoff) after(asked int, a answer) time.Duration {
+	if a.tokens >= asked {
+		b.last = 0
+		return 0
+	}
+	b.last = min(maxQuiet, max(minQuiet, 2*b.last, a.wait))
+	return b.last
+}
+
 // questions joins the requests of one workspace that wait for another gateway:
 // while one question is under way, the requests that arrive gather for the next
 // one.
@@ -33,6 +49,7 @@
 	send func(tokens int) answer
 
 	quietUntil atomic.Int64 // ns since the Unix epoch
+	backoff    backoff      // used by run only
 
 	mu      sync.Mutex
 	next    *question // gathers requests, or nil
@@ -88,8 +105,7 @@
 			return
 		}
 		current.answer = q.send(current.waiting)
-		if current.answer.tokens < current.waiting {
-			quiet := min(maxQuiet, max(minQuiet, current.answer.wait))
+		if quiet := q.backoff.after(current.waiting, current.answer); quiet > 0 {
 			q.quietUntil.Store(time.Now().Add(quiet).UnixNano())
 		}
 		current.left.Store(int64(current.answer.tokens))
--- a/controller/limits/simulation_test.go
+++ b/controller/limits/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -29,6 +30,7 @@
 	admitted []time.Time
 	refused  int
 	messages int
+	bytes    int
 }
 
 type simGateway struct {
@@ -41,6 +43,8 @@
 	alive    bool
 	paused   time.Time
 	gathered time.Time
+	quiet    time.Time
+	backoff  backoff
 	cut      map[int]bool
 	view     *fleet.View
 }
@@ -167,7 +171,7 @@
 		return
 	}
 	reachable := g.reachable()
-	for _, out := range g.ledger.Renewals(reachable, s.now) {
+	for _, out := range append(g.ledger.Returns(reachable, s.now), g.ledger.Renewals(reachable, s.now)...) {
 		g.lend(out, nil)
 	}
 	if s.now.Sub(g.gathered) < share.IdlePeriod(len(reachable)+1) {
@@ -206,10 +210,18 @@
 	return nil
 }
 
+// envelope is the number of bytes that JSON-RPC adds to a message.
+const envelope = 45
+
 // carry delivers a message to the gateway unless it is lost.
-func (g *simGateway) carry(to *simGateway, run func()) {
+func (g *simGateway) carry(to *simGateway, message any, run func()) {
 	s := g.sim
 	s.messages++
+	data, err := json.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	s.bytes += len(data) + envelope
 	if !to.alive || g.cut[to.index] || to.cut[g.index] || s.random.Float64() < s.loss {
 		return
 	}
@@ -220,10 +232,10 @@
 // the lender took the tokens.
 func (g *simGateway) lend(out outgoing, done func(resp peer.LendResponse, sent, taken time.Time)) {
 	s, to, sent := g.sim, g.sim.at(out.to), g.sim.now
-	g.carry(to, func() {
+	g.carry(to, out.request, func() {
 		taken := s.now
 		resp, err := to.ledger.Lend(out.request, s.now)
-		to.carry(g, func() {
+		to.carry(g, resp, func() {
 			if err != nil {
 				g.ledger.Refused(out.to)
 				return
@@ -243,9 +255,9 @@
 		if to == nil {
 			continue
 		}
-		g.carry(to, func() {
+		g.carry(to, req, func() {
 			resp, err := to.ledger.Release(req, g.sim.now)
-			to.carry(g, func() {
+			to.carry(g, resp, func() {
 				if err == nil {
 					g.ledger.Released(resp, g.sim.now)
 				}
@@ -287,6 +299,10 @@
 // time.
 func (g *simGateway) question(w *workspace) {
 	s, open := g.sim, true
+	if g.quiet.After(s.now) {
+		s.refused++
+		return
+	}
 	out, ok := g.ledger.Question(w, 1, false, g.reachable())
 	if !ok {
 		s.refused++
@@ -304,6 +320,11 @@
 			return
 		}
 		open = false
+		a := answer{}
+		if len(resp.Grants) > 0 {
+			a = answer{tokens: resp.Grants[0].Tokens, wait: resp.Grants[0].Wait}
+		}
+		g.quiet = s.now.Add(g.backoff.after(1, a))
 		s.settle(w, resp, taken)
 	})
 }
--- a/controller/limits/workspace.go
+++ b/controller/limits/workspace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 // smoothing is the weight of the newest sample in the demand's average.
-const smoothing = 0.3
+const smoothing = 0.1
 
 // workspace is the limiter of one workspace with what is known of its traffic
 // here.
@@ -20,6 +21,7 @@
 	name      string
 	average   atomic.Uint64 // bits of the float64 of requests per second
 	questions questions
+	recall    sync.Map // peer addresses of lenders that ask for their loan
 	metrics   *Metrics
 }
 
@@ -97,3 +99,36 @@
 	}
 	return 0
 }
+
+// recalled takes in that a lender needs its loan back.
+func (w *workspace) recalled(from string) { w.recall.Store(from, true) }
+
+// unneeded tells whether the loan is to be given back early.
+func (w *workspace) unneeded(in share.Loan, home bool, now time.Time) bool {
+	if _, recalled := w.recall.LoadAndDelete(in.Peer); recalled {
+		return true
+	}
+	if in.Idle {
+		return !home
+	}
+	return in.End.Sub(now) < renewBefore && share.WantedRate(w.Account(), in.Peer, w.demand()) == 0
+}
+
+// giveBack stops to use the loan from the peer, unless it is lent on.
+func (w *workspace) giveBack(from string, now time.Time) (r share.Return, ok bool) {
+	w.Change(now, func(a share.Account, level float64) (share.Account, float64) {
+		loan, found := a.LoanFrom(from)
+		without := a.WithoutFrom(from)
+		b := without.Balance()
+		if !found || b.Rate < -roundingError || b.Burst < -roundingError {
+			return a, level
+		}
+		back := 0.0
+		if held := a.Held(); held.Burst > 0 {
+			back = max(0, level*loan.Amount.Burst/held.Burst)
+		}
+		r, ok = share.Return{Workspace: w.name, Serial: loan.Serial, Level: back}, true
+		return without, level - back
+	})
+	return r, ok
+}
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -38,6 +38,8 @@
 	ShareHeader
 	// Asks holds one entry for each workspace.
 	Asks []share.Ask `json:"a,omitempty"`
+	// Returns holds the loans of the receiver that end early.
+	Returns []share.Return `json:"b,omitempty"`
 }
 
 // LendResponse answers a LendRequest.
--- a/policy/share/account.go
+++ b/policy/share/account.go
@@ -42,6 +42,10 @@
 	Peer string
 	// Amount is what was lent.
 	Amount Amount
+	// Serial identifies the loan among those of its lender.
+	Serial uint64
+	// Idle tells that the workspace's home has gathered the share.
+	Idle bool
 	// End is when the borrower stops to use the loan or, at the lender, when
 	// the share is restored.
 	End time.Time
@@ -123,6 +127,38 @@
 	return a
 }
 
+// LoanFrom returns the loan from the peer.
+func (a Account) LoanFrom(peer string) (Loan, bool) {
+	for _, l := range a.In {
+		if l.Peer == peer {
+			return l, true
+		}
+	}
+	return Loan{}, false
+}
+
+// LoanTo returns the loan to the peer.
+func (a Account) LoanTo(peer string) (Loan, bool) {
+	for _, l := range a.Out {
+		if l.Peer == peer {
+			return l, true
+		}
+	}
+	return Loan{}, false
+}
+
+// Returned returns the account without the loan to the peer, if it is the one
+// with the serial number.
+func (a Account) Returned(peer string, serial uint64) (Account, bool) {
+	for _, l := range a.Out {
+		if l.Peer == peer && l.Serial == serial {
+			a.Out = others(a.Out, peer)
+			return a, true
+		}
+	}
+	return a, false
+}
+
 // LentTo returns what is lent to the peer.
 func (a Account) LentTo(peer string) Amount { return amountOf(a.Out, peer) }
 
--- a/policy/share/lend.go
+++ b/policy/share/lend.go
@@ -18,21 +18,29 @@
 	minIdlePeriod     = time.Second
 	idlePeriodPerPeer = 250 * time.Millisecond
 
-	// headroom is the factor by which a share exceeds the expected demand.
-	headroom = 1.25
+	// localPart is the part of its demand for which a gateway holds a share
+	// itself. The rest is admitted by the workspace's home, so that the shares
+	// that gateways hold are used up.
+	localPart = 0.8
 	// keptRate is the smallest part of its base rate that a lender keeps.
 	keptRate = 1.0 / 64
 	// keptStep is the step of the part of its base share that a lender keeps.
 	keptStep = 0.25
+	// minLocalBurst and localBurstTime are the requests and the time at the
+	// held rate that a gateway holds as burst; the rest stays with the home.
+	minLocalBurst  = 4
+	localBurstTime = 0.25 // seconds
 	// idleDemand is the number of requests per second below which a workspace
 	// counts as idle.
 	idleDemand = 0.05
-	// minLoanDemand is the number of requests per second from which a loan of
-	// rate costs fewer messages than a question for each request.
-	minLoanDemand = 2
+	// minLoanRate is the rate from which a loan costs fewer messages than a
+	// question for each request.
+	minLoanRate = 2
 	// lentPart is the part of its unused rate that a gateway lends at once, so
 	// that others that ask find some too.
-	lentPart = 0.5
+	lentPart = 0.75
+	// keepPart is the part of a loan below which a smaller need ends it.
+	keepPart = 0.5
 )
 
 // IdlePeriod returns how often a gateway asks each of its peers for idle
@@ -74,10 +82,24 @@
 	Lent *Amount `json:"l,omitempty"`
 	// Level is the number of tokens that come with the loan.
 	Level float64 `json:"t,omitempty"`
+	// Serial identifies the loan among those of the lender.
+	Serial uint64 `json:"s,omitempty"`
+	// Recall asks the borrower to give the present loan back early.
+	Recall bool `json:"b,omitempty"`
 	// Life is how long the loan lasts, counted from the sending of the Ask.
 	Life time.Duration `json:"e,omitempty"`
 }
 
+// Return gives a loan back before its end. The borrower has stopped to use it.
+type Return struct {
+	// Workspace is the workspace's name.
+	Workspace string `json:"w"`
+	// Serial is the loan's number.
+	Serial uint64 `json:"s"`
+	// Level is the number of tokens that go back with the loan.
+	Level float64 `json:"t,omitempty"`
+}
+
 // Lender is the state by which a gateway decides on a loan.
 type Lender struct {
 	// Account is the gateway's share.
@@ -109,7 +131,7 @@
 		return Amount{}, 0, 0, false
 	}
 	if held := s.Account.Held(); held.Burst > 0 {
-		level = s.Level * min(1, (lent.Burst-present.Burst)/held.Burst)
+		level = max(0, s.Level) * min(1, (lent.Burst-present.Burst)/held.Burst)
 	}
 	return lent, level, life, true
 }
@@ -118,7 +140,8 @@
 // what it has lent to others than the peer.
 func (s Lender) idle(present Amount) Amount {
 	base := s.Account.Base
-	unused := base.Scale(1 - s.kept())
+	kept := s.kept()
+	unused := base.Minus(kept)
 	unused.Rate = min(unused.Rate, base.Rate*(1-keptRate))
 	if unused.Rate < present.Rate && unused.Rate >= present.Rate-base.Rate*keptStep {
 		unused = present
@@ -131,41 +154,49 @@
 }
 
 // kept returns the part of its base share that the lender keeps for its own
-// demand, in steps, so that small changes of the demand move nothing.
-func (s Lender) kept() float64 {
+// demand. It changes in steps, so that small changes of the demand move nothing.
+func (s Lender) kept() Amount {
 	base := s.Account.Base
-	if s.Demand <= idleDemand || base.Burst < 1 {
-		return 0
+	if s.Demand <= idleDemand || base.Rate <= 0 {
+		return Amount{}
 	}
-	needed := max(headroom*s.Demand/base.Rate, 1/base.Burst)
-	return min(1, math.Ceil(needed/keptStep)*keptStep)
+	part := min(1-keptStep, math.Floor(localPart*s.Demand/base.Rate/keptStep)*keptStep)
+	kept := base.Scale(part)
+	kept.Burst = min(kept.Burst, localBurst(kept.Rate))
+	if kept.Burst < 1 {
+		return Amount{}
+	}
+	return kept
 }
 
+// localBurst returns the burst that a gateway holds with the rate.
+func localBurst(rate float64) float64 { return max(minLocalBurst, rate*localBurstTime) }
+
 // wanted returns what a gateway gets that wants to borrow a rate.
 func (s Lender) wanted(rate float64, present, free Amount) Amount {
-	if rate <= 0 || free.Rate <= 0 {
+	if rate < minLoanRate || free.Rate <= 0 {
 		return Amount{}
 	}
-	unused := max(0, free.Rate-headroom*s.Demand)
-	if rate < present.Rate*lentPart || unused < present.Rate*lentPart {
+	unused := max(0, free.Rate-s.Demand)
+	if rate < present.Rate*keepPart || unused < present.Rate*keepPart {
 		return Amount{}
 	}
-	lent := max(present.Rate, min(rate, unused*lentPart))
-	burst := max(present.Burst, free.Burst*lent/free.Rate)
-	if burst < 1 {
+	lent := Amount{Rate: max(present.Rate, min(rate, unused*lentPart))}
+	lent.Burst = max(present.Burst, min(free.Burst*lent.Rate/free.Rate, localBurst(lent.Rate)))
+	if lent.Burst < minLocalBurst {
 		return Amount{}
 	}
-	return Amount{Rate: lent, Burst: min(burst, free.Burst)}
+	return Amount{Rate: lent.Rate, Burst: min(lent.Burst, free.Burst)}
 }
 
 // WantedRate returns the rate that a gateway with the demand wants to borrow
 // from the peer, or 0.
 func WantedRate(a Account, peer string, demand float64) float64 {
-	if demand < minLoanDemand {
-		return 0
-	}
 	without := a.Held().Rate - a.BorrowedFrom(peer).Rate
-	return max(0, headroom*demand-without)
+	if wanted := localPart*demand - without; wanted >= minLoanRate {
+		return wanted
+	}
+	return 0
 }
 
 // BatchReserve returns the number of tokens that batch items leave to online
--- a/serve/admit.go
+++ b/serve/admit.go
@@ -17,6 +17,9 @@
 	if err := s.checkPhase(); err != nil {
 		return nil, err
 	}
+	if time.Now().After(s.board.Freshness.Value().Until) {
+		return nil, result.New(result.ConfigStale, result.NotRun).After(time.Second)
+	}
 	c := &call{Request: req, view: view}
 	if req.Route == nil || !req.Route.Open {
 		workspace, err := Authenticate(view, req)
