--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -15,6 +15,7 @@
 	"github.com/baobablanding/baobablanding/controller/configsync"
 	"github.com/baobablanding/baobablanding/controller/dispatch"
 	"github.com/baobablanding/baobablanding/controller/engines"
+	"github.com/baobablanding/baobablanding/controller/vmlist"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/peer"
@@ -27,6 +28,7 @@
 	vm          string
 	incarnation string
 	agent       *agent.Agent
+	dispatch    *dispatch.Controller
 	controllers *group
 	peers       *peer.Server
 	metrics     *httpserve.Server
@@ -62,8 +64,19 @@
 	}
 	a.board.Phase.Publish(blackboard.Serving)
 	a.controllers.run(configsync.New(a.board, configstore.New(table, objects), a, logger).Run)
+	vms := platform.NewVMs(settings.Platform.VMs, settings.Platform.Timeout)
+	a.controllers.run(vmlist.New(a.board, vms, logger).Run)
 	a.controllers.run(engines.New(a.board, agent.NewProber(), a.vm, logger).Run)
-	a.controllers.run(dispatch.New(a.board, batch.NewStore(table, objects), a.agent, a.vm, logger).Run)
+	a.dispatch = dispatch.New(a.board, dispatch.Options{
+		Store:   batch.NewStore(table, objects),
+		Runner:  a.agent,
+		Slots:   a.agent,
+		Holder:  a.vm + "/" + a.incarnation,
+		Metrics: dispatch.NewMetrics(reg),
+		Log:     logger,
+	})
+	a.controllers.run(a.dispatch.Run)
+	a.controllers.run(a.agent.Follow)
 	a.controllers.run(a.announce)
 	return nil
 }
@@ -92,14 +105,16 @@
 	_ = s.Notify(context.Background(), peer.MethodStatus, a.status())
 }
 
-// announce tells every connection when the state of the upstreams changes.
+// announce tells every connection when the state of the upstreams or the
+// configuration changes.
 func (a *Agent) announce(ctx context.Context) {
 	for {
-		ups, phase := a.board.Upstreams.Load(), a.board.Phase.Load()
+		ups, phase, config := a.board.Upstreams.Load(), a.board.Phase.Load(), a.board.Config.Load()
 		a.peers.Broadcast(ctx, peer.MethodStatus, a.status())
 		select {
 		case <-ups.Changed():
 		case <-phase.Changed():
+		case <-config.Changed():
 		case <-ctx.Done():
 			return
 		}
@@ -115,9 +130,7 @@
 	if view := a.board.Config.Value().View; view != nil {
 		s.ConfigVersion = view.Version
 	}
-	for _, up := range a.board.Upstreams.Value().All {
-		s.Reports = append(s.Reports, agent.Report(up))
-	}
+	s.Reports = a.agent.Reports()
 	return s
 }
 
@@ -125,6 +138,11 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	a.board.Phase.Publish(blackboard.Draining)
 	err := a.agent.Wait(ctx)
+	select {
+	case <-a.dispatch.Drained():
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
 	a.Kill()
 	return err
 }
