--- a/agent/allowance.go
+++ b/agent/allowance.go
@@ -36,7 +36,7 @@
 	first := a.turn.Add(1)
 	for i := range sessions {
 		s := sessions[(first+uint64(i))%uint64(len(sessions))]
-		resp, err := take(ctx, s, peer.TakeRequest{Workspace: workspace, Tokens: n})
+		resp, err := askFor(ctx, s, peer.TakeRequest{Workspace: workspace, Tokens: n})
 		if err == nil {
 			return resp.Granted, resp.RetryAfter
 		}
@@ -47,7 +47,7 @@
 	return 0, noGatewayRetry
 }
 
-func take(ctx context.Context, s *peer.Session, req peer.TakeRequest) (peer.TakeResponse, error) {
+func askFor(ctx context.Context, s *peer.Session, req peer.TakeRequest) (peer.TakeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
 	var resp peer.TakeResponse
--- a/controller/membership/membership.go
+++ b/controller/membership/membership.go
@@ -39,6 +39,7 @@
 	self        string
 	incarnation string
 	log         *log.Logger
+	lastLink    map[string]peer.LinkEvent // by address
 	links       chan peer.LinkEvent
 	heard       chan peer.Gossip
 	members     map[string]blackboard.Member // by name
@@ -53,6 +54,7 @@
 		self:        self,
 		incarnation: incarnation,
 		log:         logger,
+		lastLink:    make(map[string]peer.LinkEvent),
 		links:       make(chan peer.LinkEvent, eventBacklog),
 		heard:       make(chan peer.Gossip, eventBacklog),
 		members:     make(map[string]blackboard.Member),
@@ -116,7 +118,11 @@
 		}
 		m := c.members[g.Name]
 		if m.Address != g.Peer {
-			m = blackboard.Member{Name: g.Name, Address: g.Peer, Listed: time.Now()}
+			link := c.lastLink[g.Peer]
+			m = blackboard.Member{
+				Name: g.Name, Address: g.Peer, Listed: time.Now(),
+				Connected: link.Up, Refused: link.Refused,
+			}
 			c.members[g.Name] = m
 		}
 		others = append(others, m)
@@ -134,6 +140,7 @@
 }
 
 func (c *Controller) takeLink(e peer.LinkEvent) {
+	c.lastLink[e.Address] = e
 	for name, m := range c.members {
 		if m.Address == e.Address {
 			m.Connected, m.Refused = e.Up, e.Refused
--- a/policy/share/account.go
+++ b/policy/share/account.go
@@ -78,7 +78,7 @@
 func (a Account) Held() Amount { return a.Balance().Max(Amount{}) }
 
 // Free returns what the gateway can lend until the given time: loans to it that
-// end before are not counted.
+// end before are not counted. A component is negative while too much is lent.
 func (a Account) Free(until time.Time) Amount {
 	sum := a.Balance()
 	for _, l := range a.In {
@@ -86,7 +86,7 @@
 			sum = sum.Minus(l.Amount)
 		}
 	}
-	return sum.Max(Amount{})
+	return sum
 }
 
 // FirstEnd returns the earliest end of a loan to the gateway.
