--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -68,12 +68,13 @@
 	a.controllers.run(vmlist.New(a.board, vms, logger).Run)
 	a.controllers.run(engines.New(a.board, agent.NewProber(), a.vm, logger).Run)
 	a.dispatch = dispatch.New(a.board, dispatch.Options{
-		Store:   batch.NewStore(table, objects),
-		Runner:  a.agent,
-		Slots:   a.agent,
-		Holder:  a.vm + "/" + a.incarnation,
-		Metrics: dispatch.NewMetrics(reg),
-		Log:     logger,
+		Store:     batch.NewStore(table, objects),
+		Runner:    a.agent,
+		Slots:     a.agent,
+		Allowance: agent.NewAllowance(a.peers.Sessions),
+		Holder:    a.vm + "/" + a.incarnation,
+		Metrics:   dispatch.NewMetrics(reg),
+		Log:       logger,
 	})
 	a.controllers.run(a.dispatch.Run)
 	a.controllers.run(a.agent.Follow)
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -25,6 +25,7 @@
 	started   bool
 	firstByte time.Time
 	admitted  time.Time // when the rate admitted it
+	tracker   tracker
 }
 
 // attempts tries upstreams until one answers or no further attempt is allowed.
@@ -142,6 +143,7 @@
 			return err
 		}
 	}
+	c.tracker.chunk()
 	return c.write(part.Data)
 }
 
