--- /dev/null
+++ b/fleettest/keys_test.go
@@ -0,0 +1,108 @@
+package fleettest_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/fleettest"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+// withdrawBound is how soon a running stream must end after the withdrawal is
+// in force.
+const withdrawBound = time.Second
+
+// withdraw returns an edit that withdraws the workspace's keys.
+func withdraw(workspace string) func(fleet.State) (fleet.State, error) {
+	return func(s fleet.State) (fleet.State, error) {
+		for i := range s.Keys {
+			if s.Keys[i].Workspace == workspace {
+				s.Keys[i].Withdrawn = time.Now()
+			}
+		}
+		return s, nil
+	}
+}
+
+func TestWithdrawnKeyEndsRunningStreams(t *testing.T) {
+	engine := standin.DefaultEngine
+	engine.PerToken = 50 * time.Millisecond
+	f := fleettest.Start(t, fleettest.Options{
+		Gateways: 2, Engine: engine, ColdSlots: 8,
+		Workspaces: []fleet.Workspace{{Name: "garrafon", Rate: 1000, Burst: 1000}, {Name: "guild", Rate: 1000, Burst: 1000}},
+	})
+	long := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":80,"messages":[{"role":"user","content":"a"}]}`, fleettest.Model)
+	type ended struct {
+		workspace, body string
+		at              time.Time
+	}
+	const streams = 4
+	ends := make(chan ended, streams)
+	for i := range streams {
+		workspace := []string{"garrafon", "guild"}[i%2]
+		go func() {
+			_, body := f.Call(context.Background(), i/2, workspace, http.MethodPost, "/v1/chat/completions", long)
+			ends <- ended{workspace, body, time.Now()}
+		}()
+	}
+	f.Eventually("all streams run", func() bool { return f.Engines[0].Running() == streams })
+	f.WaitVersion(f.Apply(withdraw("guild")))
+	inForce := time.Now()
+	for range streams {
+		e := <-ends
+		whole := fleettest.IsWholeStream(e.body)
+		switch {
+		case e.workspace == "garrafon" && !whole:
+			t.Errorf("a stream of another key ended early: %q", e.body)
+		case e.workspace == "guild" && (whole || !strings.Contains(e.body, "key_withdrawn")):
+			t.Errorf("the stream of the withdrawn key ended with %q", e.body[max(0, len(e.body)-200):])
+		case e.workspace == "guild" && e.at.Sub(inForce) > withdrawBound:
+			t.Errorf("the stream ended %s after the withdrawal was in force", e.at.Sub(inForce))
+		}
+	}
+	if status, body := f.Chat(context.Background(), 0, "guild", "a", false); status != http.StatusUnauthorized {
+		t.Errorf("a new request with the withdrawn key: %d %s", status, body)
+	}
+}
+
+// TestHostileRequestsCarryNoKeyToAnUpstream sends the caller's own key in every
+// part that is passed on.
+func TestHostileRequestsCarryNoKeyToAnUpstream(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Services: 1})
+	key := f.Keys["garrafon"]
+	encoded := "%6B" + key[1:]
+	escaped := `\u006b` + key[1:]
+	chat := `{"model":"` + fleettest.Model + `","messages":[{"role":"user","content":"%s"}]}`
+	requests := []struct{ method, path, body string }{
+		{http.MethodPost, "/v1/chat/completions", strings.Replace(chat, "%s", key, 1)},
+		{http.MethodPost, "/v1/chat/completions", strings.Replace(chat, "%s", escaped, 1)},
+		{http.MethodGet, fleettest.RoutePrefix + "/" + key, ""},
+		{http.MethodGet, fleettest.RoutePrefix + "/" + encoded, ""},
+		{http.MethodGet, fleettest.RoutePrefix + "/1?k=" + key, ""},
+		{http.MethodGet, fleettest.RoutePrefix + "/1?k=" + encoded, ""},
+		{key, fleettest.RoutePrefix + "/1", ""},
+		{http.MethodPost, fleettest.RoutePrefix + "/1", `{"k":"` + escaped + `"}`},
+	}
+	for _, r := range requests {
+		status, body := f.Call(context.Background(), 0, "garrafon", r.method, r.path, r.body)
+		if status != http.StatusBadRequest {
+			t.Errorf("%s %s %s: %d %s", r.method, r.path, r.body, status, body)
+		}
+	}
+	if n := len(f.Engines[0].Seen()) + len(f.Services[0].Seen()); n != 0 {
+		t.Errorf("%d of the requests reached an upstream", n)
+	}
+	if status, body := f.Call(context.Background(), 0, "garrafon", http.MethodGet, fleettest.RoutePrefix+"/1?a=100%25", ""); status != http.StatusOK {
+		t.Errorf("a harmless request: %d %s", status, body)
+	}
+	for _, s := range f.Services[0].Seen() {
+		if s.Key {
+			t.Errorf("request %s carried a key", s.ID)
+		}
+	}
+}
