--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -24,6 +24,7 @@
 	tried     []string
 	started   bool
 	firstByte time.Time
+	admitted  time.Time // when the rate admitted it
 	tracker   tracker
 }
 
