Tell starting from draining, and let a fleet wait until it serves

Seen: TestCancelledJobStops failed in 2 of 9 runs with 3010 'draining' from a gateway that had just started. Cause: a gateway now begins to serve only when loans of its former process have ended; the fleet's start waited for its upstreams, not for its phase, and the refusal named the wrong reason. New code 3017 'starting'; devfleet waits for the phase.

Seen too: TestBatchSurvivesFailures took 44-52 s and once ran into its 30 s wait, since a lost worker's claim lasts 30 s. Settings gain batch_lease; the test's fleet takes 3 s. Its checks are as before. Ruled out: a shorter default, which costs a renewal for each held chunk (246 writes a second at 410 agents with 6 chunks each and 10 s).

After: both tests -count=2 ok, 20 s; go test ./result ./gateway ./ctl ok.

--- a/config/settings.go
+++ b/config/settings.go
@@ -32,6 +32,9 @@
 	// AdminKeyDigest is the SHA-256 digest, in hex, of the operators' key.
 	// Gateways only.
 	AdminKeyDigest string `yaml:"admin_key_digest"`
+	// BatchLease is how long a claim on a part of a batch job lasts when its
+	// worker is lost. The default is 30s. Agents only.
+	BatchLease time.Duration `yaml:"batch_lease"`
 	// Drain bounds a planned stop. The default is 2m30s.
 	Drain time.Duration `yaml:"drain"`
 	// ReadTimeout bounds the arrival of a request's header. The default is
@@ -59,6 +62,7 @@
 
 // Default values of Settings.
 const (
+	defaultBatchLease      = 30 * time.Second
 	defaultDrain           = 150 * time.Second
 	defaultReadTimeout     = 10 * time.Second
 	defaultBodyTimeout     = time.Minute
@@ -101,6 +105,7 @@
 }
 
 func (s *Settings) setDefaults() {
+	s.BatchLease = cmp.Or(s.BatchLease, defaultBatchLease)
 	s.Drain = cmp.Or(s.Drain, defaultDrain)
 	s.ReadTimeout = cmp.Or(s.ReadTimeout, defaultReadTimeout)
 	s.BodyTimeout = cmp.Or(s.BodyTimeout, defaultBodyTimeout)
@@ -136,6 +141,7 @@
 		name  string
 		value time.Duration
 	}{
+		{"batch_lease", s.BatchLease},
 		{"drain", s.Drain},
 		{"read_timeout", s.ReadTimeout},
 		{"body_timeout", s.BodyTimeout},
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -72,6 +72,7 @@
 		Runner:    a.agent,
 		Slots:     a.agent,
 		Allowance: agent.NewAllowance(a.peers.Sessions),
+		Lease:     settings.BatchLease,
 		Holder:    a.vm + "/" + a.incarnation,
 		Metrics:   dispatch.NewMetrics(reg),
 		Log:       logger,
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/config"
 	"github.com/baobablanding/baobablanding/ctl"
 	"github.com/baobablanding/baobablanding/fleet"
@@ -47,6 +48,9 @@
 	Slots int
 	// ColdSlots is the number of requests an engine gets in cold start.
 	ColdSlots int
+	// BatchLease is how long a claim on batch work lasts; 0 takes the daemons'
+	// default.
+	BatchLease time.Duration
 	// Edit changes the inventory before it is applied. It may be nil.
 	Edit func(*fleet.Inventory)
 }
@@ -255,6 +259,7 @@
 	}
 	return f.runDaemon("agent-"+vm.Name, "baobab-agent", config.Settings{
 		Name: vm.Name, DataCentre: vm.DataCentre, Peer: vm.Agent, Metrics: metrics,
+		BatchLease: f.opts.BatchLease,
 	})
 }
 
@@ -349,7 +354,7 @@
 func (f *Fleet) serving(ctx context.Context, i int, version uint64) bool {
 	var status gateway.StatusResponse
 	var ups []gateway.UpstreamInfo
-	if f.Client(i).Get(ctx, "/admin/status", &status) != nil || status.ConfigVersion < version {
+	if f.Client(i).Get(ctx, "/admin/status", &status) != nil || status.ConfigVersion < version || status.Phase != blackboard.Serving.String() {
 		return false
 	}
 	if f.Client(i).Get(ctx, "/admin/upstreams", &ups) != nil || len(ups) != len(f.Inventory.Upstreams) {
--- a/gateway/batches.go
+++ b/gateway/batches.go
@@ -10,9 +10,9 @@
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"github.com/baobablanding/baobablanding/batch"
-	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/serve"
 )
 
 // defaultWindow is the time until a job is due when the caller names none.
@@ -110,8 +110,8 @@
 }
 
 func (g *Gateway) createBatch(w http.ResponseWriter, r *http.Request, workspace *fleet.Workspace) error {
-	if g.board.Phase.Value() != blackboard.Serving {
-		return result.New(result.Draining, result.NotRun)
+	if err := serve.Accepting(g.board.Phase.Value()); err != nil {
+		return err
 	}
 	if err := checkJSONType(r); err != nil {
 		return err
--- a/prooftest/batch_test.go
+++ b/prooftest/batch_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/baobablanding/baobablanding/batch"
 	"github.com/baobablanding/baobablanding/devfleet"
@@ -179,6 +180,7 @@
 	return startProcesses(t, devfleet.Options{
 		DataCentres: 2, Gateways: 2, Engines: batchEngines, Services: 1,
 		Rules:      fleet.Rules{ChunkItems: chunkItems},
+		BatchLease: 3 * time.Second,
 		EngineArgs: []string{"--prefill", "20ms", "--per-token", "5ms"},
 	})
 }
--- a/result/code.go
+++ b/result/code.go
@@ -53,6 +53,7 @@
 	UnknownUpstream     Code = 3014
 	FencedOrder         Code = 3015
 	UpstreamOverloaded  Code = 3016
+	Starting            Code = 3017
 )
 
 // Codes 4xxx report on batch jobs and files.
@@ -128,6 +129,7 @@
 	OutcomeUnknown:      {"outcome_unknown", http.StatusBadGateway, "the connection was lost after the request was sent"},
 	DeadlineExceeded:    {"deadline_exceeded", http.StatusGatewayTimeout, "the request exceeded its deadline"},
 	Draining:            {"draining", http.StatusServiceUnavailable, "the process is shutting down"},
+	Starting:            {"starting", http.StatusServiceUnavailable, "the process has not begun to serve"},
 	Preempted:           {"preempted", http.StatusServiceUnavailable, "batch work gave way to online requests"},
 	RetryBudgetEmpty:    {"retry_budget_empty", http.StatusServiceUnavailable, "the retry budget of the route is used up"},
 	DuplicateRequest:    {"duplicate_request", http.StatusConflict, "a request with this id was already received"},
--- a/serve/admit.go
+++ b/serve/admit.go
@@ -43,6 +43,18 @@
 	return c, nil
 }
 
+// Accepting returns an error unless a process in the phase takes new requests.
+func Accepting(p blackboard.Phase) error {
+	switch p {
+	case blackboard.Serving:
+		return nil
+	case blackboard.Starting:
+		return result.New(result.Starting, result.NotRun).After(time.Second)
+	default:
+		return result.New(result.Draining, result.NotRun).After(time.Second)
+	}
+}
+
 // Authenticate returns the workspace whose key the request carries.
 func Authenticate(view *fleet.View, req *Request) (*fleet.Workspace, error) {
 	if !req.HasKey {
