--- a/controller/membership/membership.go
+++ b/controller/membership/membership.go
@@ -39,10 +39,12 @@
 	self        string
 	incarnation string
 	log         *log.Logger
+	lastLink    map[string]peer.LinkEvent // by address
 	links       chan peer.LinkEvent
 	heard       chan peer.Gossip
 	members     map[string]blackboard.Member // by name
 	addresses   []string
+	told        uint64 // version that every gateway was told of
 }
 
 // New returns a Controller for the named gateway. SetMessenger must be called
@@ -53,6 +55,7 @@
 		self:        self,
 		incarnation: incarnation,
 		log:         logger,
+		lastLink:    make(map[string]peer.LinkEvent),
 		links:       make(chan peer.LinkEvent, eventBacklog),
 		heard:       make(chan peer.Gossip, eventBacklog),
 		members:     make(map[string]blackboard.Member),
@@ -90,10 +93,10 @@
 		snap := c.board.Config.Load()
 		if view := snap.Value.View; view != nil {
 			c.follow(view)
+			c.tell(ctx, view.Version)
 		}
 		select {
 		case <-snap.Changed():
-			c.gossip(ctx, len(c.addresses))
 		case <-ticker.C:
 			c.gossip(ctx, fanout(len(c.addresses)))
 		case e := <-c.links:
@@ -116,7 +119,11 @@
 		}
 		m := c.members[g.Name]
 		if m.Address != g.Peer {
-			m = blackboard.Member{Name: g.Name, Address: g.Peer, Listed: time.Now()}
+			link := c.lastLink[g.Peer]
+			m = blackboard.Member{
+				Name: g.Name, Address: g.Peer, Listed: time.Now(),
+				Connected: link.Up, Refused: link.Refused,
+			}
 			c.members[g.Name] = m
 		}
 		others = append(others, m)
@@ -134,6 +141,7 @@
 }
 
 func (c *Controller) takeLink(e peer.LinkEvent) {
+	c.lastLink[e.Address] = e
 	for name, m := range c.members {
 		if m.Address == e.Address {
 			m.Connected, m.Refused = e.Up, e.Refused
@@ -160,6 +168,14 @@
 	c.board.Notice(g.ConfigVersion)
 }
 
+// tell tells every other gateway of a new version at once.
+func (c *Controller) tell(ctx context.Context, version uint64) {
+	if version > c.told {
+		c.told = version
+		c.gossip(ctx, len(c.addresses))
+	}
+}
+
 // fanout returns the number of gateways that one gossip goes to.
 func fanout(others int) int { return max(minFanout, others/fanoutDivisor) }
 
--- a/serve/server.go
+++ b/serve/server.go
@@ -32,16 +32,23 @@
 // *result.Error; once sink was started, it means that the answer broke off.
 func (s *Server) Serve(ctx context.Context, req *Request, sink Sink) error {
 	view := s.board.Config.Value().View
-	call, err := s.admit(view, req)
+	call, err := s.admit(ctx, view, req)
 	if err != nil {
 		s.refused(req, err)
 		return err
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, view.Inventory.Rules.RequestTimeout, context.DeadlineExceeded)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if call.workspace != nil {
+		go s.watchKey(ctx, req.Key, end)
+	}
 	call.sink = sink
 	call.tracker = newTracker(s.board.Objectives.Value(), call.workspaceName(), routeName(req))
-	err = s.attempts(ctx, call)
+	if err = s.confirm(ctx, call); err == nil {
+		err = withdrawn(ctx, s.attempts(ctx, call))
+	}
 	s.metrics.done(call, err)
 	return err
 }
