--- a/gateway/online.go
+++ b/gateway/online.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := key.checkLeak(r.URL.RequestURI(), body); err != nil {
+	if err := key.checkLeak(r, body); err != nil {
 		return nil, err
 	}
 	return &serve.Request{
