Put data centres 1.5 ms apart in measured fleets

Need: both deployments' data centres lie 1.5 ms apart one way; on loopback a gateway's choice of a near upstream showed no gain. A relay before each agent now delays what gateways of other data centres exchange with it; it finds the gateway by the socket's owner in /proc, so that no daemon knows of it. Ruled out: delays in the daemons' own code or settings; netem, which changes the machine. The way from clients is not delayed: it adds the same to every request.

--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -13,12 +13,8 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/baobablanding/baobablanding/config"
-	"github.com/baobablanding/baobablanding/ctl"
 	"github.com/baobablanding/baobablanding/fleet"
-	"github.com/baobablanding/baobablanding/gateway"
 	"github.com/baobablanding/baobablanding/loopback"
 )
 
@@ -49,6 +45,9 @@
 	ColdSlots int
 	// Edit changes the inventory before it is applied. It may be nil.
 	Edit func(*fleet.Inventory)
+	// Distance is the time one way between two data centres. It delays what
+	// gateways exchange with agents.
+	Distance time.Duration
 }
 
 // Names of the demo's model and route.
@@ -84,6 +83,8 @@
 	Platform string
 
 	opts      Options
+	distance  distance
+	listen    map[string]string // a VM's name to the address of its agent
 	dir       string
 	processes []*Process
 }
@@ -123,6 +124,9 @@
 	if err := f.plan(); err != nil {
 		return err
 	}
+	if err := f.placeRelays(); err != nil {
+		return err
+	}
 	for _, u := range f.Inventory.Upstreams {
 		if err := f.startUpstream(ctx, u); err != nil {
 			return err
@@ -233,6 +237,25 @@
 	f.Inventory.Upstreams = append(f.Inventory.Upstreams, u)
 }
 
+// placeRelays puts a relay before each agent, if data centres are apart.
+func (f *Fleet) placeRelays() error {
+	f.listen = make(map[string]string)
+	f.distance.oneWay = f.opts.Distance
+	for i := range f.Inventory.VMs {
+		vm := &f.Inventory.VMs[i]
+		f.listen[vm.Name] = vm.Agent
+		if f.opts.Distance == 0 {
+			continue
+		}
+		address, err := f.distance.relay(vm.Agent, vm.DataCentre)
+		if err != nil {
+			return fmt.Errorf("relay to %s: %w", vm.Name, err)
+		}
+		vm.Agent = address
+	}
+	return nil
+}
+
 func (f *Fleet) startUpstream(ctx context.Context, u fleet.Upstream) error {
 	address := u.URL[len("http://"):]
 	var err error
@@ -254,7 +277,7 @@
 		return err
 	}
 	return f.runDaemon("agent-"+vm.Name, "baobab-agent", config.Settings{
-		Name: vm.Name, DataCentre: vm.DataCentre, Peer: vm.Agent, Metrics: metrics,
+		Name: vm.Name, DataCentre: vm.DataCentre, Peer: f.listen[vm.Name], Metrics: metrics,
 	})
 }
 
@@ -289,77 +312,13 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		return fmt.Errorf("settings of %s: %w", name, err)
 	}
-	return f.run(name, programName, "--settings", path)
-}
-
-// configure applies the inventory, issues keys and waits until the fleet serves.
-func (f *Fleet) configure(ctx context.Context) error {
-	text, err := config.FormatInventory(&f.Inventory)
-	if err != nil {
+	if err := f.run(name, programName, "--settings", path); err != nil {
 		return err
 	}
-	client := f.Client(0)
-	request := gateway.ApplyRequest{Edit: f.edit(), Inventory: string(text)}
-	var applied gateway.ApplyResponse
-	if err := client.Post(ctx, "/admin/config", request, &applied); err != nil {
-		return fmt.Errorf("apply inventory: %w", err)
-	}
-	for _, w := range f.Inventory.Workspaces {
-		var key gateway.KeyResponse
-		if err := client.Post(ctx, "/admin/keys", gateway.KeyRequest{Edit: f.edit(), Workspace: w.Name}, &key); err != nil {
-			return fmt.Errorf("issue key: %w", err)
-		}
-		f.Keys[w.Name] = key.Key
-		applied.Version = key.Version
-	}
-	return f.waitServing(ctx, applied.Version)
-}
-
-func (f *Fleet) edit() gateway.Edit {
-	return gateway.Edit{Operation: uuid.NewString(), Author: "devfleet"}
-}
-
-// Client returns an operators' client of the gateway with the given index.
-func (f *Fleet) Client(i int) *ctl.Client {
-	return ctl.NewClient(f.URL(i), f.AdminKey)
-}
-
-// URL returns the callers' address of the gateway with the given index.
-func (f *Fleet) URL(i int) string { return "http://" + f.Inventory.Gateways[i].HTTP }
-
-// waitServing waits until every gateway has the version and reaches every
-// upstream.
-func (f *Fleet) waitServing(ctx context.Context, version uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	ticker := time.NewTicker(readyInterval)
-	defer ticker.Stop()
-	for i := range f.Inventory.Gateways {
-		for !f.serving(ctx, i, version) {
-			select {
-			case <-ticker.C:
-			case <-ctx.Done():
-				return fmt.Errorf("gateway %d does not serve: %w", i, ctx.Err())
-			}
-		}
-	}
+	f.distance.place(f.Process(name).PID(), s.DataCentre)
 	return nil
 }
 
-func (f *Fleet) serving(ctx context.Context, i int, version uint64) bool {
-	var status gateway.StatusResponse
-	var ups []gateway.UpstreamInfo
-	if f.Client(i).Get(ctx, "/admin/status", &status) != nil || status.ConfigVersion < version {
-		return false
-	}
-	if f.Client(i).Get(ctx, "/admin/upstreams", &ups) != nil || len(ups) != len(f.Inventory.Upstreams) {
-		return false
-	}
-	return !slices.ContainsFunc(ups, func(u gateway.UpstreamInfo) bool {
-		return !u.Connected || (u.State != "ready" && u.State != "cold")
-	})
-}
-
 // Process returns the named process, or nil.
 func (f *Fleet) Process(name string) *Process {
 	for _, p := range f.processes {
@@ -377,6 +336,7 @@
 	for _, p := range slices.Backward(f.processes) {
 		errs = append(errs, p.Stop(ctx))
 	}
+	f.distance.close()
 	err := errors.Join(errs...)
 	if err == nil {
 		os.RemoveAll(f.dir)
@@ -389,5 +349,6 @@
 	for _, p := range slices.Backward(f.processes) {
 		p.Kill()
 	}
+	f.distance.close()
 	os.RemoveAll(f.dir)
 }
--- a/load/command.go
+++ b/load/command.go
@@ -30,6 +30,7 @@
 	GatewayCount   int           `arg:"--gateways" help:"number of gateways in place of the scenario's"`
 	EngineCount    int           `arg:"--engines" help:"number of engines in place of the scenario's"`
 	WorkspaceCount int           `arg:"--workspaces" help:"number of workspaces; those beyond the scenario's send nothing"`
+	NoDistance     bool          `arg:"--no-distance" help:"put the data centres next to each other"`
 	Whole          bool          `arg:"--whole" help:"ask for whole answers in place of streams"`
 	Bin            string        `arg:"--bin" help:"folder with the programs; the default is this program's folder"`
 	Gateways       []string      `arg:"--gateway,separate" placeholder:"URL" help:"base address of a running gateway; without one the run starts a fleet"`
@@ -106,6 +107,9 @@
 	if len(a.EngineArg) > 0 {
 		s.Fleet.EngineArgs = a.EngineArg
 	}
+	if a.NoDistance {
+		s.Fleet.Distance = 0
+	}
 	if a.Slots != 0 {
 		s.Fleet.Slots = a.Slots
 	}
--- a/load/fleet.go
+++ b/load/fleet.go
@@ -39,6 +39,7 @@
 	o := devfleet.Options{
 		Bin: bin, DataCentres: s.Fleet.DataCentres, Gateways: s.Fleet.Gateways, Engines: s.Fleet.Engines,
 		Slots: s.Fleet.Slots, ColdSlots: s.Fleet.ColdSlots, EngineArgs: s.Fleet.EngineArgs, Rules: s.Fleet.Rules,
+		Distance: s.Fleet.Distance,
 	}
 	for _, w := range s.Workspaces {
 		o.Workspaces = append(o.Workspaces, fleet.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst})
--- a/load/profiles.go
+++ b/load/profiles.go
@@ -17,6 +17,7 @@
 	profileCold     = 2
 	profileTokens   = 16
 	profilePrompts  = 50
+	profileDistance = 1500 * time.Microsecond
 	profileWarmup   = 2 * time.Second
 	profileDuration = 7 * time.Second
 	overRateFactor  = 5
@@ -49,7 +50,7 @@
 		Duration: profileDuration,
 		Fleet: FleetSize{
 			DataCentres: dataCentres, Gateways: dataCentres, Engines: profileEngines,
-			Slots: profileSlots, ColdSlots: profileCold, EngineArgs: profileEngineArgs,
+			Slots: profileSlots, ColdSlots: profileCold, EngineArgs: profileEngineArgs, Distance: profileDistance,
 			Rules: fleet.Rules{ChunkItems: 20},
 		},
 		Request: RequestShape{Tokens: profileTokens, Prompts: profilePrompts},
--- a/load/scenario.go
+++ b/load/scenario.go
@@ -55,6 +55,8 @@
 	// Slots and ColdSlots bound the requests at an engine.
 	Slots     int `yaml:"slots" json:"slots"`
 	ColdSlots int `yaml:"cold_slots" json:"cold_slots"`
+	// Distance is the time one way between two data centres.
+	Distance time.Duration `yaml:"distance" json:"distance"`
 	// EngineArgs are arguments of the stand-in engines.
 	EngineArgs []string `yaml:"engine_args" json:"engine_args"`
 	// Rules bounds the fleet.
