--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
@@ -53,15 +54,17 @@
 	reg := newRegistry()
 
 	ups := upstreams.New(g.board, logger)
-	g.agents = peer.NewPool(g.agentHandlers(ups), ups.Link)
+	rates := limits.New(g.board, settings.Name, limits.NewMetrics(reg))
+	g.agents = peer.NewPool(merge(g.agentHandlers(ups), rates.AgentHandlers()), ups.Link)
 	ups.SetConnector(g.agents)
 	members := membership.New(g.board, settings.Name, uuid.NewString(), logger)
 	g.gateways = peer.NewPool(nil, members.Link)
 	g.gateways.SetAddresses(settings.Seeds)
 	members.SetMessenger(g.gateways)
+	rates.SetCaller(g.gateways)
 	g.controllers.run(configsync.New(g.board, configs, g, logger).Run)
 	g.controllers.run(freshness.New(g.board, logger).Run)
-	g.controllers.run(limits.New(g.board).Run)
+	g.controllers.run(rates.Run)
 	g.controllers.run(objectives.New(g.board).Run)
 	g.controllers.run(ups.Run)
 	g.controllers.run(members.Run)
@@ -73,16 +76,40 @@
 	if g.metrics, err = serveMetrics(settings.Metrics, reg); err != nil {
 		return err
 	}
-	if g.peers, err = peer.Listen(settings.Peer, g.peerHandlers(members), nil); err != nil {
+	if g.peers, err = peer.Listen(settings.Peer, merge(g.peerHandlers(members), rates.Handlers()), nil); err != nil {
 		return err
 	}
 	if g.http, err = front.Listen(); err != nil {
 		return err
 	}
-	g.board.Phase.Publish(blackboard.Serving)
+	g.controllers.run(func(ctx context.Context) { g.serveAfter(ctx, rates.Started()) })
 	return nil
 }
 
+// serveAfter starts to serve when the channel is closed.
+func (g *Gateway) serveAfter(ctx context.Context, started <-chan struct{}) {
+	select {
+	case <-started:
+	case <-ctx.Done():
+		return
+	}
+	g.board.Phase.Update(func(p blackboard.Phase) blackboard.Phase {
+		if p == blackboard.Starting {
+			return blackboard.Serving
+		}
+		return p
+	})
+}
+
+// merge returns the handlers of all sets.
+func merge(sets ...peer.Handlers) peer.Handlers {
+	all := peer.Handlers{}
+	for _, set := range sets {
+		maps.Copy(all, set)
+	}
+	return all
+}
+
 // agentHandlers returns the handlers of what agents send.
 func (g *Gateway) agentHandlers(ups *upstreams.Controller) peer.Handlers {
 	return peer.Handlers{
