--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -349,7 +349,7 @@
 func (f *Fleet) serving(ctx context.Context, i int, version uint64) bool {
 	var status gateway.StatusResponse
 	var ups []gateway.UpstreamInfo
-	if f.Client(i).Get(ctx, "/admin/status", &status) != nil || status.ConfigVersion < version {
+	if f.Client(i).Get(ctx, "/admin/status", &status) != nil || status.ConfigVersion < version || status.Phase != "serving" {
 		return false
 	}
 	if f.Client(i).Get(ctx, "/admin/upstreams", &ups) != nil || len(ups) != len(f.Inventory.Upstreams) {
--- a/policy/share/lend.go
+++ b/policy/share/lend.go
@@ -24,6 +24,10 @@
 	localPart = 0.8
 	// keptRate is the smallest part of its base rate that a lender keeps.
 	keptRate = 1.0 / 64
+	// reservePart is the smallest part of its base share that a lender keeps if
+	// the burst of that part is at least one request. It serves callers while
+	// the workspace's home is out of reach.
+	reservePart = 1.0 / 8
 	// keptStep is the step of the part of its base share that a lender keeps.
 	keptStep = 0.25
 	// minLocalBurst and localBurstTime are the requests and the time at the
@@ -140,9 +144,11 @@
 // what it has lent to others than the peer.
 func (s Lender) idle(present Amount) Amount {
 	base := s.Account.Base
-	kept := s.kept()
-	unused := base.Minus(kept)
+	unused := base.Minus(s.kept())
 	unused.Rate = min(unused.Rate, base.Rate*(1-keptRate))
+	if base.Burst*reservePart >= 1 {
+		unused = unused.Min(base.Scale(1 - reservePart))
+	}
 	if unused.Rate < present.Rate && unused.Rate >= present.Rate-base.Rate*keptStep {
 		unused = present
 	}
