Prove the rate with processes that are paused, killed and replaced

Need: the simulation of the ledgers uses a fake clock; pauses of a real process and connections that break need a run of their own.

--- /dev/null
+++ b/prooftest/limits_test.go
@@ -0,0 +1,70 @@
+package prooftest_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/devfleet"
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/history"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+const (
+	limitRate  = 60
+	limitBurst = 12
+	// pauseBeyondLoans is longer than any loan between gateways.
+	pauseBeyondLoans = 6 * time.Second
+)
+
+var (
+	longPauseGateway = fault{"pause a gateway beyond its loans", func(t *testing.T, f *devfleet.Fleet, random *rand.Rand) {
+		pause(t, f.Process(gatewayName(random, f)), pauseBeyondLoans)
+		time.Sleep(faultPause)
+	}}
+	killedForLong = fault{"kill a gateway for longer than its loans", func(t *testing.T, f *devfleet.Fleet, random *rand.Rand) {
+		p := f.Process(gatewayName(random, f))
+		t.Logf("kill %s", p.Name)
+		p.Kill()
+		time.Sleep(pauseBeyondLoans)
+		restart(t, p)
+		time.Sleep(time.Second)
+	}}
+	longOutage = fault{"a gateway replaced during an outage", func(t *testing.T, f *devfleet.Fleet, random *rand.Rand) {
+		setFaults(t, f.Platform, standin.Faults{Outage: true})
+		killAndRestart(t, f.Process(gatewayName(random, f)))
+		time.Sleep(3 * time.Second)
+		setFaults(t, f.Platform, standin.Faults{})
+	}}
+)
+
+// TestRateHoldsThroughFailures sends several times a workspace's rate through
+// four gateways while processes are killed, replaced and paused beyond the end
+// of the loans between them.
+func TestRateHoldsThroughFailures(t *testing.T) {
+	t.Parallel()
+	const rounds = 1
+	f := startProcesses(t, devfleet.Options{
+		DataCentres: 1, Gateways: 4, Engines: 2, Services: 1,
+		EngineArgs: []string{"--prefill", "1ms", "--per-token", "1ms"},
+		Workspaces: []fleet.Workspace{{Name: "garrafon", Rate: limitRate, Burst: limitBurst}},
+	})
+	random := newRandom(t)
+	var record history.Recorder
+	started := time.Now()
+	group := start(t.Context(), processCallers(f, &record), whole, callPause)
+	for range rounds {
+		for _, fault := range []fault{killGateway, longPauseGateway, longOutage, killedForLong} {
+			fault.bring(t, f, random)
+		}
+	}
+	group.end()
+	t.Logf("%s", record.Summary())
+	admitted := history.Admitted(record.Calls(), arrivals(t, &f.Inventory), "garrafon")
+	t.Logf("%d admitted in %v at %d a second", len(admitted), time.Since(started).Round(time.Second), limitRate)
+	check(t, "rate and burst in any window", history.CheckRate(admitted, limitRate, limitBurst))
+	if least := limitRate / 2 * time.Since(started).Seconds(); float64(len(admitted)) < least {
+		t.Errorf("only %d requests were admitted, want at least %.0f", len(admitted), least)
+	}
+}
