--- a/controller/limits/ledger.go
+++ b/controller/limits/ledger.go
@@ -154,6 +154,7 @@
 	if l.faults.raiseAtOnce {
 		l.eras = l.eras[len(l.eras)-1:]
 	}
+	l.metrics.eras.Set(float64(len(l.eras)))
 	overdrawn := false
 	for name, w := range l.spaces {
 		overdrawn = w.setBase(l.base(name), now) || overdrawn
--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -67,12 +67,13 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		config, members := c.board.Config.Load(), c.board.Members.Load()
+		config, members, phase := c.board.Config.Load(), c.board.Members.Load(), c.board.Phase.Load()
 		c.configure(config)
 		c.exchange(ctx, time.Now())
 		select {
 		case <-config.Changed():
 		case <-members.Changed():
+		case <-phase.Changed():
 		case <-ticker.C:
 			c.ledger.Tick(time.Now())
 			c.probe(ctx)
@@ -114,7 +115,14 @@
 	}
 	reachable := c.reachable()
 	c.announce(ctx)
-	for _, out := range append(c.ledger.Returns(reachable, now), c.ledger.Renewals(reachable, now)...) {
+	stopping := c.board.Phase.Value() == blackboard.Draining
+	for _, out := range c.ledger.Returns(reachable, stopping, now) {
+		go c.lend(ctx, out, callTimeout)
+	}
+	if stopping {
+		return
+	}
+	for _, out := range c.ledger.Renewals(reachable, now) {
 		go c.lend(ctx, out, callTimeout)
 	}
 	key := joinKey(reachable)
--- a/controller/limits/metrics.go
+++ b/controller/limits/metrics.go
@@ -14,6 +14,7 @@
 	borrowed  prometheus.Counter
 	messages  *prometheus.CounterVec
 	active    prometheus.Gauge
+	eras      prometheus.Gauge
 }
 
 // NewMetrics returns metrics registered with reg.
@@ -49,8 +50,12 @@
 			Name: "baobab_limit_base_active",
 			Help: "1 while this gateway uses its own share of the rates.",
 		}),
+		eras: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "baobab_limit_configurations",
+			Help: "Configurations that some gateway may still follow; above 1 no share grows.",
+		}),
 	}
-	reg.MustRegister(admitted, granted, m.questions, m.borrowed, m.messages, m.active)
+	reg.MustRegister(admitted, granted, m.questions, m.borrowed, m.messages, m.active, m.eras)
 	return m
 }
 
--- a/controller/limits/plan.go
+++ b/controller/limits/plan.go
@@ -89,19 +89,23 @@
 
 // Returns returns the requests that give back loans early: those that their
 // lender needs, those that this gateway no longer needs, and those that it
-// gathered as the home of a workspace that has another home now.
-func (l *Ledger) Returns(reachable []string, now time.Time) []outgoing {
+// gathered as the home of a workspace that has another home now. A gateway that
+// stops is no home and gives back everything.
+func (l *Ledger) Returns(reachable []string, stopping bool, now time.Time) []outgoing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.self == "" {
 		return nil
 	}
-	candidates := append([]string{l.self}, reachable...)
+	candidates := reachable
+	if !stopping {
+		candidates = append([]string{l.self}, reachable...)
+	}
 	returns := make(map[string][]share.Return)
 	for name, w := range l.spaces {
 		home := share.Home(name, candidates)
 		for _, in := range w.Account().In {
-			if !w.unneeded(in, home == l.self, now) {
+			if !stopping && !w.unneeded(in, home == l.self, now) {
 				continue
 			}
 			if r, ok := w.giveBack(in.Peer, now); ok {
--- a/controller/limits/simulation_test.go
+++ b/controller/limits/simulation_test.go
@@ -171,7 +171,7 @@
 		return
 	}
 	reachable := g.reachable()
-	for _, out := range append(g.ledger.Returns(reachable, s.now), g.ledger.Renewals(reachable, s.now)...) {
+	for _, out := range append(g.ledger.Returns(reachable, false, s.now), g.ledger.Renewals(reachable, s.now)...) {
 		g.lend(out, nil)
 	}
 	if s.now.Sub(g.gathered) < share.IdlePeriod(len(reachable)+1) {
@@ -357,3 +357,14 @@
 	}
 	return worst
 }
+
+// largeView returns a configuration with many workspaces.
+func largeView(gateways, workspaces int) *fleet.View {
+	view := simView(1, upTo(gateways), 1, 1)
+	inv := view.Inventory
+	inv.Workspaces = nil
+	for i := range workspaces {
+		inv.Workspaces = append(inv.Workspaces, fleet.Workspace{Name: fmt.Sprintf("workspace-%d", i), Rate: 2, Burst: 20})
+	}
+	return fleet.NewView(fleet.State{Version: 1, Inventory: inv})
+}
--- a/controller/limits/workspace.go
+++ b/controller/limits/workspace.go
@@ -68,6 +68,9 @@
 
 // setBase sets the base share and tells whether more is lent than it covers.
 func (w *workspace) setBase(base share.Amount, now time.Time) (overdrawn bool) {
+	if a := w.Account(); a.Base == base && len(a.In) == 0 && len(a.Out) == 0 {
+		return false
+	}
 	w.Change(now, func(a share.Account, level float64) (share.Account, float64) {
 		a.Base = base
 		b := a.Balance()
