Read the store often enough for a short isolation bound

Seen: TestIsolatedGatewayStopsServing, 'the other gateway answered 503 config_stale', once in a full run at load average 33. Polls now come at least four times in the bound. Ruled out: a lost connection with the store (the relay of that gateway was not cut).

After: go test ./fleettest -run 'Isolated|OutageOf' -count=8 ok, 36 s, same load.

--- a/controller/configsync/configsync.go
+++ b/controller/configsync/configsync.go
@@ -18,8 +18,13 @@
 const (
 	pollInterval  = time.Second
 	retryInterval = 100 * time.Millisecond
-	storeTimeout  = 700 * time.Millisecond
-	peerTimeout   = 700 * time.Millisecond
+
+	// pollsPerIsolation is the least number of polls in the time for which a
+	// reading of the store lets a gateway serve.
+	pollsPerIsolation = 4
+
+	storeTimeout = 700 * time.Millisecond
+	peerTimeout  = 700 * time.Millisecond
 )
 
 // Peers asks other processes for their configuration.
@@ -84,7 +89,11 @@
 	if c.version() < noticed {
 		return retryInterval
 	}
-	return pollInterval
+	view := c.board.Config.Value().View
+	if view == nil {
+		return pollInterval
+	}
+	return min(pollInterval, view.Inventory.Rules.Isolation/pollsPerIsolation)
 }
 
 // poll reads the head from the store and puts a newer version in force.
