--- a/agent/admission.go
+++ b/agent/admission.go
@@ -92,7 +92,7 @@
 	if known := d.coldStarts.Load(); known != up.ColdStarts && d.coldStarts.CompareAndSwap(known, up.ColdStarts) {
 		d.meter.Reset(d.meter.Epoch())
 	}
-	return ramp.Limit(up.Spec, up.State, d.meter.Completed())
+	return ramp.Limit(up.Spec, up.CurrentState(), d.meter.Completed())
 }
 
 // acquire takes a slot for the request, and waits for one if it is online. The
@@ -407,17 +407,21 @@
 // turnedCold notes a sign that the upstream lost its state since the grant was
 // made.
 func (d *admission) turnedCold(g *grant) {
-	if d.meter.Reset(g.epoch) {
-		d.metrics.coldSigns.Inc()
-		d.refresh()
+	if !d.meter.Reset(g.epoch) {
+		return
+	}
+	d.metrics.coldSigns.Inc()
+	if up, err := d.current(); err == nil {
+		up.Load.ColdSigns.Add(1)
 	}
+	d.refresh()
 }
 
 // idle returns the number of slots that batch requests may take now.
 func (d *admission) idle() int {
 	up, err := d.current()
 	s := d.slots.Load()
-	if err != nil || up.State != fleet.Ready || waiting(s) > 0 {
+	if err != nil || up.CurrentState() != fleet.Ready || waiting(s) > 0 {
 		return 0
 	}
 	return max(0, d.limit(up)-used(s))
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -117,7 +117,7 @@
 	case errors.As(err, &failed) && signOfColdStart(failed):
 		d.turnedCold(g)
 	}
-	if err != nil && failed != nil && failed.Verdict == result.MayHaveRun && d.recovering() {
+	if failed != nil && wasCancelled(failed) && d.recovering() {
 		time.AfterFunc(cancelGrace, func() { d.release(g) })
 		return
 	}
@@ -128,13 +128,24 @@
 // or has more work than it bears.
 func signOfColdStart(e *result.Error) bool {
 	switch e.Code {
-	case result.UpstreamUnreachable, result.UpstreamOverloaded, result.AnswerIncomplete:
+	case result.UpstreamUnreachable, result.UpstreamOverloaded, result.OutcomeUnknown, result.AnswerIncomplete:
 		return true
 	default:
 		return false
 	}
 }
 
+// wasCancelled tells whether a failure left the request to the upstream, which
+// takes a moment to notice.
+func wasCancelled(e *result.Error) bool {
+	switch e.Code {
+	case result.CallerGone, result.DeadlineExceeded, result.Preempted:
+		return e.Verdict == result.MayHaveRun
+	default:
+		return false
+	}
+}
+
 // recovering tells whether the upstream gets less than its full load.
 func (d *admission) recovering() bool {
 	up, err := d.current()
@@ -168,7 +179,7 @@
 	s := d.slots.Load()
 	r := peer.Report{Upstream: d.upstream, InFlight: used(s), Queued: waiting(s)}
 	if up := a.board.Upstreams.Value().ByName(d.upstream); up != nil {
-		r.State = up.State
+		r.State = up.CurrentState()
 		r.Limit = d.limit(up)
 	}
 	return r
--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -51,9 +51,11 @@
 	Agent string
 	// State is the state that the agent reported last.
 	State fleet.UpstreamState
-	// ColdStarts counts how often the upstream began to take work, or turned
-	// cold, since this process started.
+	// ColdStarts counts how often the upstream began to take work, or was found
+	// cold or warm again, since this process started.
 	ColdStarts int64
+	// CheckedSigns is the value that Load.ColdSigns had before the last probe.
+	CheckedSigns int64
 	// Out tells that the upstream's data centre is taken out.
 	Out bool
 	// Connected tells whether the agent is reached.
@@ -67,6 +69,15 @@
 	return u.Connected && !u.Out && (u.State == fleet.Ready || u.State == fleet.Cold)
 }
 
+// CurrentState returns the state of the upstream. A sign that it turned cold
+// counts until a later probe has checked it.
+func (u *Upstream) CurrentState() fleet.UpstreamState {
+	if u.State == fleet.Ready && u.Load.ColdSigns.Load() != u.CheckedSigns {
+		return fleet.Cold
+	}
+	return u.State
+}
+
 // Load counts the work of one upstream. Its fields are written on the path of
 // a request.
 type Load struct {
@@ -75,6 +86,9 @@
 	InFlight atomic.Int64
 	// Report is the last load that the agent reported, or nil.
 	Report atomic.Pointer[LoadReport]
+	// ColdSigns counts the signs that the upstream turned cold. It is kept on
+	// agents only.
+	ColdSigns atomic.Int64
 }
 
 // LoadReport is a load as its agent reported it.
--- a/controller/engines/engines.go
+++ b/controller/engines/engines.go
@@ -32,10 +32,16 @@
 	prober Prober
 	vm     string
 	log    *log.Logger
-	probed map[string]fleet.UpstreamState
+	probed map[string]probed
 	known  map[string]*blackboard.Upstream
 }
 
+// probed is the result of the last probe of an upstream.
+type probed struct {
+	state fleet.UpstreamState
+	signs int64 // Load.ColdSigns before the probe
+}
+
 // New returns a Controller for the upstreams of the VM.
 func New(board *blackboard.Board, prober Prober, vm string, logger *log.Logger) *Controller {
 	return &Controller{
@@ -43,7 +49,7 @@
 		prober: prober,
 		vm:     vm,
 		log:    logger,
-		probed: make(map[string]fleet.UpstreamState),
+		probed: make(map[string]probed),
 		known:  make(map[string]*blackboard.Upstream),
 	}
 }
@@ -75,11 +81,11 @@
 	dataCentre := c.dataCentre(view)
 	all := []*blackboard.Upstream{}
 	for _, spec := range c.specs(view) {
-		state := c.probed[spec.Name]
+		last := c.probed[spec.Name]
 		if vms.Leaving[c.vm] {
-			state = fleet.Leaving
+			last.state = fleet.Leaving
 		}
-		all = append(all, c.describe(spec, state, view.IsOut(dataCentre), dataCentre))
+		all = append(all, c.describe(spec, last, view.IsOut(dataCentre), dataCentre))
 	}
 	if !sameUpstreams(c.board.Upstreams.Value().All, all) {
 		c.board.Upstreams.Publish(blackboard.NewUpstreams(all))
@@ -108,38 +114,43 @@
 func (c *Controller) probe(ctx context.Context, specs []*fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	states := make([]fleet.UpstreamState, len(specs))
+	results := make([]probed, len(specs))
 	var wg sync.WaitGroup
 	for i, spec := range specs {
-		wg.Go(func() { states[i] = c.prober.Probe(ctx, spec) })
+		if up := c.known[spec.Name]; up != nil {
+			results[i].signs = up.Load.ColdSigns.Load()
+		}
+		wg.Go(func() { results[i].state = c.prober.Probe(ctx, spec) })
 	}
 	wg.Wait()
 	for i, spec := range specs {
-		c.probed[spec.Name] = states[i]
+		c.probed[spec.Name] = results[i]
 	}
 }
 
 // describe returns the upstream as it is now. Each time the upstream begins to
-// take work or changes between cold and ready counts as a cold start.
-func (c *Controller) describe(spec *fleet.Upstream, state fleet.UpstreamState, out bool, dataCentre string) *blackboard.Upstream {
+// take work, changes between cold and ready, or is found ready after a sign that
+// it turned cold, counts as a cold start.
+func (c *Controller) describe(spec *fleet.Upstream, last probed, out bool, dataCentre string) *blackboard.Upstream {
 	old := c.known[spec.Name]
 	if old == nil {
 		old = &blackboard.Upstream{Load: new(blackboard.Load)}
 	}
 	up := &blackboard.Upstream{
-		Spec:       spec,
-		DataCentre: dataCentre,
-		State:      state,
-		Out:        out,
-		Connected:  true,
-		ColdStarts: old.ColdStarts,
-		Load:       old.Load,
+		Spec:         spec,
+		DataCentre:   dataCentre,
+		State:        last.state,
+		Out:          out,
+		Connected:    true,
+		ColdStarts:   old.ColdStarts,
+		CheckedSigns: last.signs,
+		Load:         old.Load,
 	}
-	if up.Usable() && (up.State != old.State || up.Out != old.Out) {
+	if up.Usable() && (up.State != old.State || up.Out != old.Out || up.CheckedSigns != old.CheckedSigns) {
 		up.ColdStarts++
 	}
 	if up.State != old.State {
-		c.log.Info().Str("upstream", spec.Name).Stringer("from", old.State).Stringer("to", state).Msg("upstream state")
+		c.log.Info().Str("upstream", spec.Name).Stringer("from", old.State).Stringer("to", up.State).Msg("upstream state")
 	}
 	c.known[spec.Name] = up
 	return up
--- /dev/null
+++ b/fleettest/retries_test.go
@@ -0,0 +1,213 @@
+package fleettest_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/fleet"
+	"github.com/baobablanding/baobablanding/fleettest"
+	"github.com/baobablanding/baobablanding/gateway"
+	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+// post calls a plain service with a method that may not be repeated.
+func post(f *fleettest.Fleet, i int, body string) (int, string) {
+	return f.Call(context.Background(), i, "garrafon", http.MethodPost, fleettest.RoutePrefix+"/new", body)
+}
+
+// calls returns how often the services received the body.
+func calls(f *fleettest.Fleet, body string) int {
+	n := 0
+	for _, s := range f.Services {
+		for _, seen := range s.Seen() {
+			if seen.Prompt == body {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func errorOf(t *testing.T, body string) gateway.ErrorDetail {
+	t.Helper()
+	var e gateway.ErrorBody
+	if err := json.Unmarshal([]byte(body), &e); err != nil {
+		t.Fatalf("%v in %q", err, body)
+	}
+	return e.Error
+}
+
+func TestLostAnswerOfANonIdempotentCallIsNotRepeated(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Services: 2})
+	for _, s := range f.Services {
+		s.Set(standin.Faults{LoseAnswers: 1})
+	}
+	status, body := post(f, 0, `"once"`)
+	if status != http.StatusBadGateway {
+		t.Errorf("answered %d %s", status, body)
+	}
+	if e := errorOf(t, body); e.NotRun {
+		t.Errorf("the call ran, but the refusal says not run: %s", body)
+	}
+	if n := calls(f, `"once"`); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
+func TestLostAnswerOfAnIdempotentCallIsRepeatedElsewhere(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Services: 2})
+	f.Services[0].Set(standin.Faults{LoseAnswers: 2})
+	for range 4 {
+		status, body := f.Call(context.Background(), 0, "garrafon", http.MethodGet, fleettest.RoutePrefix+"/1", "")
+		if status != http.StatusOK {
+			t.Errorf("answered %d %s", status, body)
+		}
+	}
+}
+
+// TestNonIdempotentCallsRunAtMostOnceWhileProcessesDie kills a gateway and an
+// agent, again and again, while callers post distinct orders.
+func TestNonIdempotentCallsRunAtMostOnceWhileProcessesDie(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Gateways: 2, Services: 3, ServiceTime: 20 * time.Millisecond})
+	type outcome struct {
+		status int
+		body   string
+	}
+	var mu sync.Mutex
+	outcomes := map[string]outcome{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for n := 0; ctx.Err() == nil; n++ {
+				order := fmt.Sprintf(`"order %d.%d"`, i, n)
+				status, body := post(f, n%2, order)
+				mu.Lock()
+				outcomes[order] = outcome{status, body}
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := range 6 {
+		time.Sleep(100 * time.Millisecond)
+		vm := fmt.Sprintf("vm-service-%d", i%3+1)
+		f.KillAgent(vm)
+		if i%2 == 1 {
+			f.KillGateway("gateway-2")
+			f.StartGateway("gateway-2")
+		}
+		f.StartAgent(vm)
+	}
+	cancel()
+	wg.Wait()
+	answered, notRun := 0, 0
+	for order, o := range outcomes {
+		n := calls(f, order)
+		switch {
+		case n > 1:
+			t.Errorf("%s ran %d times", order, n)
+		case o.status == http.StatusOK:
+			answered++
+			if n != 1 || !strings.Contains(o.body, order[1:len(order)-1]) {
+				t.Errorf("%s ran %d times and was answered %s", order, n, o.body)
+			}
+		case o.status != 0 && errorOf(t, o.body).NotRun:
+			notRun++
+			if n != 0 {
+				t.Errorf("%s ran, but its refusal says not run: %s", order, o.body)
+			}
+		}
+	}
+	t.Logf("%d orders: %d answered, %d refused as not run", len(outcomes), answered, notRun)
+	if answered == 0 {
+		t.Error("nothing was answered")
+	}
+}
+
+func TestCrossedAnswerIsNotPassedOn(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		f := fleettest.Start(t, fleettest.Options{Engines: 2})
+		for _, e := range f.Engines {
+			e.Set(standin.Faults{CrossAnswers: 1})
+		}
+		status, body := f.Chat(context.Background(), 0, "garrafon", "mine", stream)
+		if status == http.StatusOK {
+			t.Errorf("stream %t: a crossed answer was passed on: %s", stream, body)
+		}
+		for _, e := range f.Engines {
+			e.Set(standin.Faults{})
+		}
+		f.Engines[0].Set(standin.Faults{CrossAnswers: 1})
+		for range 4 {
+			status, body = f.Chat(context.Background(), 0, "garrafon", "mine", stream)
+			if status != http.StatusOK || !strings.Contains(body, "answer to: mine") {
+				t.Errorf("stream %t: answered %d %s", stream, status, body)
+			}
+		}
+	}
+}
+
+func TestStreamThatBreaksLaterEndsWithACodedError(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Engines: 2})
+	for _, e := range f.Engines {
+		e.Set(standin.Faults{CutStreams: 1})
+	}
+	status, body := f.Chat(context.Background(), 0, "garrafon", "mine", true)
+	if status != http.StatusOK || fleettest.IsWholeStream(body) {
+		t.Fatalf("answered %d %s", status, body)
+	}
+	_, data, ok := strings.Cut(body, "event: error\ndata: ")
+	if !ok {
+		t.Fatalf("the stream ended without an error event: %s", body)
+	}
+	if e := errorOf(t, data); e.Code != int(result.AnswerIncomplete) || e.NotRun {
+		t.Errorf("the stream ended with %s", data)
+	}
+	if n := len(f.Engines[0].Seen()) + len(f.Engines[1].Seen()); n != 1 {
+		t.Errorf("the request was sent %d times", n)
+	}
+}
+
+func TestStreamThatBreaksBeforeItsFirstChunkIsRetried(t *testing.T) {
+	o := standin.DefaultEngine
+	o.Prefill = 300 * time.Millisecond
+	f := fleettest.Start(t, fleettest.Options{Engines: 2, Engine: o})
+	done := make(chan string, 1)
+	go func() {
+		status, body := f.Chat(context.Background(), 0, "garrafon", "mine", true)
+		done <- fmt.Sprintf("%d %s", status, body)
+	}()
+	f.Eventually("an engine has the request", func() bool { return f.Engines[0].Running()+f.Engines[1].Running() == 1 })
+	for _, e := range f.Engines {
+		if e.Running() == 1 {
+			e.Restart()
+		}
+	}
+	if got := <-done; !strings.HasPrefix(got, "200 ") || !fleettest.IsWholeStream(got) {
+		t.Errorf("answered %s", got)
+	}
+}
+
+func TestRetryBudgetBoundsTheLoadOfFailures(t *testing.T) {
+	const requests, percent, saved = 200, 10, 20
+	f := fleettest.Start(t, fleettest.Options{Engines: 3, Rules: fleet.Rules{RetryPercent: percent}})
+	for range requests {
+		f.Chat(context.Background(), 0, "garrafon", "poison", false)
+	}
+	sent := 0
+	for _, e := range f.Engines {
+		sent += len(e.Seen())
+	}
+	if limit := requests + requests*percent/100 + saved; sent > limit {
+		t.Errorf("%d requests became %d at the engines, limit %d", requests, sent, limit)
+	}
+}
--- a/fleettest/upstreams_test.go
+++ b/fleettest/upstreams_test.go
@@ -141,12 +141,12 @@
 	f := fleettest.Start(t, fleettest.Options{DataCentres: 2, Gateways: 2, Engines: 2})
 	l := startLoad(f, 24, false)
 	defer l.stop()
-	takeOut(f, "dc-1")
+	setOut(f, "dc-1")
 	checkNoNewWork(t, f)
 	checkStaleGatewayIsRefused(t, f, result.DataCentreOut)
 
 	before := len(f.Engines[0].Seen())
-	takeOut(f)
+	setOut(f)
 	f.Eventually("the engine works again", func() bool { return len(f.Engines[0].Seen()) > before+30 })
 	checkRamp(t, f.Engines[0].Seen()[before:])
 	if n := l.failed.Load(); n != 0 {
@@ -154,7 +154,8 @@
 	}
 }
 
-func takeOut(f *fleettest.Fleet, dataCentres ...string) {
+// setOut makes the data centres the only ones that are taken out.
+func setOut(f *fleettest.Fleet, dataCentres ...string) {
 	f.Apply(func(s fleet.State) (fleet.State, error) {
 		s.Out = dataCentres
 		return s, nil
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -9,10 +9,13 @@
 
 // Attempt describes a failed attempt.
 type Attempt struct {
-	// Number counts the attempts made so far.
-	Number int
-	// Limit is the largest number of attempts.
+	// Tries counts the attempts made so far that an upstream may have run or
+	// refused for lack of room, this one included.
+	Tries int
+	// Limit is the largest number of tries.
 	Limit int
+	// Redirects counts the other attempts made so far, this one included.
+	Redirects int
 	// Idempotent tells that the request may run more than once.
 	Idempotent bool
 	// Started tells that a part of the answer was passed on to the caller.
@@ -21,10 +24,14 @@
 	Err *result.Error
 }
 
+// maxRedirects is the largest number of attempts of one request that ended at
+// upstreams which take no work at all.
+const maxRedirects = 8
+
 // Again tells whether a further attempt is safe and may help. The caller then
-// asks the budget.
+// asks the budget, unless the failure was a redirect.
 func Again(a Attempt) bool {
-	if a.Started || a.Number >= a.Limit {
+	if a.Started || a.Tries >= a.Limit || a.Redirects >= maxRedirects {
 		return false
 	}
 	if a.Err.Verdict != result.NotRun && !a.Idempotent {
@@ -33,6 +40,22 @@
 	return mayHelp(a.Err.Code)
 }
 
+// IsRedirect tells whether the failure only says that the upstream takes no work
+// now. A further attempt puts no load on the fleet that the first one did not
+// save, so it counts neither as a try nor against the budget.
+func IsRedirect(e *result.Error) bool {
+	if e.Verdict != result.NotRun {
+		return false
+	}
+	switch e.Code {
+	case result.Draining, result.UpstreamLeaving, result.DataCentreOut,
+		result.UnknownUpstream, result.UpstreamUnreachable:
+		return true
+	default:
+		return false
+	}
+}
+
 // mayHelp tells whether another upstream may succeed where one failed with c.
 func mayHelp(c result.Code) bool {
 	switch c {
--- /dev/null
+++ b/policy/retry/retry_test.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/baobablanding/baobablanding/result"
+)
+
+// TestAgain reads cases of the form "again code=NAME verdict=NAME ..." and
+// compares the decision.
+func TestAgain(t *testing.T) {
+	datadriven.RunTest(t, "testdata/again", func(t *testing.T, d *datadriven.TestData) string {
+		a := Attempt{Limit: 3, Tries: 1, Idempotent: d.HasArg("idempotent"), Started: d.HasArg("started")}
+		d.MaybeScanArgs(t, "tries", &a.Tries)
+		d.MaybeScanArgs(t, "redirects", &a.Redirects)
+		var out strings.Builder
+		for _, name := range strings.Fields(d.Input) {
+			a.Err = result.New(codeNamed(t, name), verdictNamed(t, d))
+			fmt.Fprintf(&out, "%s: again %t, redirect %t\n", name, Again(a), IsRedirect(a.Err))
+		}
+		return out.String()
+	})
+}
+
+func codeNamed(t *testing.T, name string) result.Code {
+	t.Helper()
+	for _, c := range result.Codes() {
+		if c.String() == name {
+			return c
+		}
+	}
+	t.Fatalf("unknown code %q", name)
+	return 0
+}
+
+func verdictNamed(t *testing.T, d *datadriven.TestData) result.Verdict {
+	t.Helper()
+	for _, v := range []result.Verdict{result.NotRun, result.MayHaveRun, result.Answered} {
+		if d.HasArg(v.String()) {
+			return v
+		}
+	}
+	t.Fatalf("%s: name a verdict", d.Pos)
+	return 0
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	const requests, percent = 1000, 10
+	b := NewBudget()
+	spent := 0
+	for range requests {
+		b.Earn(percent)
+		for range 3 {
+			if b.Spend() {
+				spent++
+			}
+		}
+	}
+	if limit := maxBalance/budgetUnit + requests*percent/100; spent > limit {
+		t.Fatalf("%d retries, limit %d", spent, limit)
+	}
+}
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -28,39 +28,59 @@
 
 // attempts tries upstreams until one answers or no further attempt is allowed.
 func (s *Server) attempts(ctx context.Context, c *call) error {
-	limit := c.view.Inventory.Rules.Attempts
+	state := retry.Attempt{
+		Limit:      c.view.Inventory.Rules.Attempts,
+		Idempotent: c.idempotent(),
+	}
 	worst := result.NotRun
 	for number := 1; ; number++ {
-		err := s.attempt(ctx, c, number)
+		up := s.choose(c)
+		if up == nil {
+			return noUpstream(state.Err).WithVerdict(worst)
+		}
+		err := s.attempt(ctx, c, up, number)
 		if err == nil {
 			return nil
 		}
 		failed := result.From(err)
 		worst = max(worst, failed.Verdict)
-		again := retry.Again(retry.Attempt{
-			Number:     number,
-			Limit:      limit,
-			Idempotent: c.idempotent(),
-			Started:    c.started,
-			Err:        failed,
-		})
-		if !again || ctx.Err() != nil {
-			return failed.WithVerdict(worst)
-		}
-		if !c.budget.Spend() {
-			s.metrics.budgetEmpty.Inc()
+		state.Started, state.Err = c.started, failed
+		if ctx.Err() != nil || !s.again(c, &state) {
 			return failed.WithVerdict(worst)
 		}
 		s.metrics.retries.Inc()
 	}
 }
 
-// attempt runs the request at one upstream.
-func (s *Server) attempt(ctx context.Context, c *call, number int) error {
-	up := s.choose(c)
-	if up == nil {
-		return result.New(result.NoUpstream, result.NotRun).After(time.Second)
+// again counts the failed attempt and tells whether another one follows.
+func (s *Server) again(c *call, state *retry.Attempt) bool {
+	redirect := retry.IsRedirect(state.Err)
+	if redirect {
+		state.Redirects++
+	} else {
+		state.Tries++
+	}
+	if !retry.Again(*state) {
+		return false
+	}
+	if redirect || c.budget.Spend() {
+		return true
+	}
+	s.metrics.budgetEmpty.Inc()
+	return false
+}
+
+// noUpstream returns the last attempt's failure, or that there was no upstream
+// to try.
+func noUpstream(last *result.Error) *result.Error {
+	if last != nil {
+		return last
 	}
+	return result.New(result.NoUpstream, result.NotRun).After(time.Second)
+}
+
+// attempt runs the request at the upstream.
+func (s *Server) attempt(ctx context.Context, c *call, up *blackboard.Upstream, number int) error {
 	c.tried = append(c.tried, up.Spec.Name)
 	up.Load.InFlight.Add(1)
 	defer up.Load.InFlight.Add(-1)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -61,16 +61,21 @@
 	faultSwitch
 	opts    EngineOptions
 	server  *httpserve.Server
-	running atomic.Int64
 	work    atomic.Int64
 	failed  atomic.Int64 // UnixNano until which the engine is down
 	falls   atomic.Int64
 	crowded atomic.Int64 // UnixNano since which a cold engine has too much, or 0
-	life    atomic.Pointer[chan struct{}]
+	life    atomic.Pointer[life]
 	log     seenLog
 	cache   prefixCache
 }
 
+// life is the time between two restarts of an engine.
+type life struct {
+	running atomic.Int64
+	ended   chan struct{}
+}
+
 // StartEngine starts the stand-in at the address.
 func StartEngine(address string, opts EngineOptions) (*Engine, error) {
 	e := &Engine{opts: opts, cache: prefixCache{size: opts.CachedPrefixes}}
@@ -100,7 +105,7 @@
 func (e *Engine) Falls() int64 { return e.falls.Load() }
 
 // Running returns the number of running requests.
-func (e *Engine) Running() int64 { return e.running.Load() }
+func (e *Engine) Running() int64 { return e.life.Load().running.Load() }
 
 func (e *Engine) routes() []rest.Route {
 	routes := []rest.Route{
@@ -128,16 +133,15 @@
 
 // begin starts a life of the engine, which Restart ends.
 func (e *Engine) begin() {
-	life := make(chan struct{})
-	if old := e.life.Swap(&life); old != nil {
-		close(*old)
+	if old := e.life.Swap(&life{ended: make(chan struct{})}); old != nil {
+		close(old.ended)
 	}
 }
 
 // Restart cuts every running request and puts the engine into cold start.
 func (e *Engine) Restart() {
-	e.SetCold(true)
 	e.begin()
+	e.SetCold(true)
 }
 
 func (e *Engine) health(w http.ResponseWriter, _ *http.Request) {
@@ -153,7 +157,7 @@
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, map[string]int64{"running": e.running.Load()})
+	writeJSON(w, http.StatusOK, map[string]int64{"running": e.Running()})
 }
 
 func (e *Engine) seen(w http.ResponseWriter, _ *http.Request) {
@@ -162,32 +166,38 @@
 
 func (e *Engine) isDown() bool { return time.Now().UnixNano() < e.failed.Load() }
 
-// enter counts a request in, and lets a cold engine fail under too many.
-func (e *Engine) enter() bool {
+// enter counts a request in, and lets a cold engine fail under too many. It
+// returns nil for a request that is refused.
+func (e *Engine) enter() *life {
 	if e.isDown() {
-		return false
+		return nil
 	}
-	running := e.running.Add(1)
+	l := e.life.Load()
+	if e.bears(l.running.Add(1)) {
+		return l
+	}
+	e.failed.Store(time.Now().Add(fellOver).UnixNano())
+	e.falls.Add(1)
+	l.running.Add(-1)
+	return nil
+}
+
+// bears tells whether the engine bears the number of running requests.
+func (e *Engine) bears(running int64) bool {
 	if !e.isCold() || running <= int64(e.opts.ColdLimit) {
 		e.crowded.Store(0)
 		return true
 	}
-	now := time.Now()
-	if e.opts.ColdPatience > 0 && e.crowded.CompareAndSwap(0, now.UnixNano()) {
+	now := time.Now().UnixNano()
+	if e.opts.ColdPatience > 0 && e.crowded.CompareAndSwap(0, now) {
 		return true
 	}
-	if now.UnixNano()-e.crowded.Load() < int64(e.opts.ColdPatience) {
-		return true
-	}
-	e.failed.Store(now.Add(fellOver).UnixNano())
-	e.falls.Add(1)
-	e.running.Add(-1)
-	return false
+	return now-e.crowded.Load() < int64(e.opts.ColdPatience)
 }
 
 // leave counts a request out; only an answered one warms the engine up.
-func (e *Engine) leave(answered *bool) {
-	e.running.Add(-1)
+func (e *Engine) leave(l *life, answered *bool) {
+	l.running.Add(-1)
 	if *answered {
 		e.work.Add(1)
 	}
@@ -225,18 +235,19 @@
 			return
 		}
 		entry := e.log.add(r, req.text())
-		if !e.enter() {
+		l := e.enter()
+		if l == nil {
 			http.Error(w, "overloaded", http.StatusServiceUnavailable)
 			return
 		}
-		e.log.running(entry, e.running.Load())
+		e.log.running(entry, l.running.Load())
 		answered := false
-		defer e.leave(&answered)
+		defer e.leave(l, &answered)
 		if strings.Contains(req.text(), poison) {
 			http.Error(w, "cannot process", http.StatusInternalServerError)
 			return
 		}
-		g := generation{engine: e, shape: shape, request: req, w: w, r: r, life: *e.life.Load()}
+		g := generation{engine: e, shape: shape, request: req, w: w, r: r, life: l}
 		if answered = g.run(); answered {
 			e.log.done(entry)
 		}
@@ -258,7 +269,7 @@
 	request *completionRequest
 	w       http.ResponseWriter
 	r       *http.Request
-	life    <-chan struct{}
+	life    *life
 }
 
 // wait waits for d. It returns false if the caller has gone or the engine was
@@ -269,7 +280,7 @@
 	select {
 	case <-timer.C:
 		return true
-	case <-g.life:
+	case <-g.life.ended:
 		dropAnswer(g.w)
 		return false
 	case <-g.r.Context().Done():
@@ -362,7 +373,7 @@
 
 // slowdown grows with the number of requests above the knee.
 func (e *Engine) slowdown() float64 {
-	return max(1, float64(e.running.Load())/float64(e.opts.Knee))
+	return max(1, float64(e.Running())/float64(e.opts.Knee))
 }
 
 func (e *Engine) embed(w http.ResponseWriter, r *http.Request) {
@@ -374,12 +385,13 @@
 		return
 	}
 	entry := e.log.add(r, "")
-	if !e.enter() {
+	l := e.enter()
+	if l == nil {
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
 	}
 	answered := false
-	defer e.leave(&answered)
+	defer e.leave(l, &answered)
 	if !wait(r, e.opts.Prefill) {
 		return
 	}
