--- a/agent/admission.go
+++ b/agent/admission.go
@@ -34,6 +34,8 @@
 	coldStarts atomic.Int64
 	// service is the usual time of a request in ns.
 	service atomic.Int64
+	// batchRunning is the length of batch.
+	batchRunning atomic.Int64
 
 	mu      sync.Mutex // guards what follows; taken only off the fast path
 	waiting *queue.Fair[*waiter]
@@ -110,7 +112,46 @@
 	if req.Class == fleet.Batch {
 		return nil, result.New(result.QueueFull, result.NotRun).After(d.retryAfter(limit))
 	}
-	return d.wait(ctx, req, g)
+	if !req.NoWait {
+		return d.wait(ctx, req, g)
+	}
+	if d.takeFromBatch(up, limit) {
+		return g.start(), nil
+	}
+	return nil, result.New(result.QueueFull, result.NotRun).After(d.retryAfter(limit))
+}
+
+// takeFromBatch takes the slot of the newest batch request if nothing waits and
+// the slot can change hands at once.
+func (d *admission) takeFromBatch(up *blackboard.Upstream, limit int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.newestBatch()
+	if g == nil || waiting(d.slots.Load()) > 0 || !d.transferable(up, limit) {
+		return false
+	}
+	d.transfer(g)
+	return true
+}
+
+// transferable tells whether a batch request's slot may go to an online request
+// before the upstream has ended the batch request.
+func (d *admission) transferable(up *blackboard.Upstream, limit int) bool {
+	return limit == up.Spec.Slots && used(d.slots.Load()) <= limit
+}
+
+// transfer ends the batch request and leaves its slot to an online request. The
+// caller holds the mutex.
+func (d *admission) transfer(g *grant) {
+	g.transferred = true
+	d.forgetBatch(g)
+	d.end(g)
+}
+
+// forgetBatch drops a batch request from the list. The caller holds the mutex.
+func (d *admission) forgetBatch(g *grant) {
+	d.batch = slices.DeleteFunc(d.batch, func(b *grant) bool { return b == g })
+	d.batchRunning.Store(int64(len(d.batch)))
 }
 
 // start notes when the request of the grant begins.
@@ -166,7 +207,7 @@
 	select {
 	case err = <-w.ready:
 	case <-timer.C:
-		err = d.abandon(entry, w, result.New(result.QueueTimeout, result.NotRun))
+		err = d.abandon(entry, w, result.New(result.QueueTimeout, result.NotRun).After(minRetryAfter))
 	case <-ctx.Done():
 		err = d.abandon(entry, w, cancelled(ctx, result.NotRun))
 	}
@@ -264,13 +305,13 @@
 		if g == nil {
 			return
 		}
-		if limit == up.Spec.Slots && used(d.slots.Load()) <= limit {
-			g.transferred = true
-			d.batch = slices.DeleteFunc(d.batch, func(b *grant) bool { return b == g })
-			d.slots.Add(^(oneWaiting - 1))
-			d.grantNext()
+		if !d.transferable(up, limit) {
+			d.end(g)
+			continue
 		}
-		d.end(g)
+		d.transfer(g)
+		d.slots.Add(^(oneWaiting - 1))
+		d.grantNext()
 	}
 }
 
@@ -306,6 +347,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.batch = append(d.batch, g)
+	d.batchRunning.Store(int64(len(d.batch)))
 	if up, err := d.current(); err == nil {
 		d.preemptFor(up, d.limit(up))
 	}
@@ -337,7 +379,7 @@
 func (d *admission) removeBatch(g *grant) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.batch = slices.DeleteFunc(d.batch, func(b *grant) bool { return b == g })
+	d.forgetBatch(g)
 	return !g.transferred
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -177,7 +177,8 @@
 
 func (a *Agent) report(d *admission) peer.Report {
 	s := d.slots.Load()
-	r := peer.Report{Upstream: d.upstream, InFlight: used(s), Queued: waiting(s)}
+	online := max(0, used(s)-int(d.batchRunning.Load()))
+	r := peer.Report{Upstream: d.upstream, InFlight: online, Queued: waiting(s)}
 	if up := a.board.Upstreams.Value().ByName(d.upstream); up != nil {
 		r.State = up.CurrentState()
 		r.Limit = d.limit(up)
--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -12,25 +12,21 @@
 	// All lists the upstreams.
 	All []*Upstream
 
-	byName  map[string]*Upstream
-	byModel map[string][]*Upstream
+	byName   map[string]*Upstream
+	topology *Topology
 }
 
-// NewUpstreams returns the set of the given upstreams.
+// NewUpstreams returns the set of the given upstreams without groups.
 func NewUpstreams(all []*Upstream) *Upstreams {
-	u := &Upstreams{
-		All:     all,
-		byName:  make(map[string]*Upstream, len(all)),
-		byModel: make(map[string][]*Upstream),
-	}
+	return NewGroupedUpstreams(all, new(Topology))
+}
+
+// NewGroupedUpstreams returns the set of the given upstreams, which are in the
+// order of the topology's inventory.
+func NewGroupedUpstreams(all []*Upstream, topology *Topology) *Upstreams {
+	u := &Upstreams{All: all, byName: make(map[string]*Upstream, len(all)), topology: topology}
 	for _, up := range all {
 		u.byName[up.Spec.Name] = up
-		if up.Spec.Kind != fleet.Engine {
-			continue
-		}
-		for _, m := range up.Spec.Models {
-			u.byModel[m] = append(u.byModel[m], up)
-		}
 	}
 	return u
 }
@@ -38,8 +34,14 @@
 // ByName returns the named upstream, or nil.
 func (u *Upstreams) ByName(name string) *Upstream { return u.byName[name] }
 
-// ByModel returns the engines that serve the model. The slice is shared.
-func (u *Upstreams) ByModel(model string) []*Upstream { return u.byModel[model] }
+// ByModel returns the engines that serve the model, or nil.
+func (u *Upstreams) ByModel(model string) *Group { return u.topology.byModel[model] }
+
+// ByRoute returns the plain services of the named route, or nil.
+func (u *Upstreams) ByRoute(route string) *Group { return u.topology.byRoute[route] }
+
+// Only returns the group of just the named upstream, or nil.
+func (u *Upstreams) Only(name string) *Group { return u.topology.single[name] }
 
 // Upstream is what a process knows of one upstream.
 type Upstream struct {
@@ -49,8 +51,6 @@
 	DataCentre string
 	// Agent is the address of the agent that fronts the upstream.
 	Agent string
-	// AgentVersion is the version of the configuration that the agent has.
-	AgentVersion uint64
 	// State is the state that the agent reported last.
 	State fleet.UpstreamState
 	// ColdStarts counts how often the upstream began to take work, or was found
@@ -62,6 +62,8 @@
 	Out bool
 	// Connected tells whether the agent is reached.
 	Connected bool
+	// AgentVersion is the version of the configuration that the agent has.
+	AgentVersion uint64
 	// Load holds counters that outlive this snapshot.
 	Load *Load
 }
@@ -88,6 +90,9 @@
 	InFlight atomic.Int64
 	// Report is the last load that the agent reported, or nil.
 	Report atomic.Pointer[LoadReport]
+	// RefusedUntil is the time, in ns since 1970, until which the agent's last
+	// refusal holds. It is kept on gateways only.
+	RefusedUntil atomic.Int64
 	// ColdSigns counts the signs that the upstream turned cold. It is kept on
 	// agents only.
 	ColdSigns atomic.Int64
--- a/controller/upstreams/upstreams.go
+++ b/controller/upstreams/upstreams.go
@@ -24,6 +24,9 @@
 // Board.Upstreams.
 type Controller struct {
 	board     *blackboard.Board
+	gateway   string
+	home      string // data centre of the gateway
+	topology  *blackboard.Topology
 	connector Connector
 	log       *log.Logger
 	links     chan peer.LinkEvent
@@ -44,10 +47,13 @@
 	status  peer.Status
 }
 
-// New returns a Controller. SetConnector must be called before Run.
-func New(board *blackboard.Board, logger *log.Logger) *Controller {
+// New returns a Controller of the named gateway in the data centre.
+// SetConnector must be called before Run.
+func New(board *blackboard.Board, gateway, dataCentre string, logger *log.Logger) *Controller {
 	return &Controller{
 		board:    board,
+		gateway:  gateway,
+		home:     dataCentre,
 		log:      logger,
 		links:    make(chan peer.LinkEvent, eventBacklog),
 		statuses: make(chan statusEvent, eventBacklog),
@@ -73,6 +79,7 @@
 		snap := c.board.Config.Load()
 		if view := snap.Value.View; view != nil {
 			c.connector.SetAddresses(addresses(view))
+			c.topology = blackboard.NewTopology(view, c.gateway, c.home)
 			c.publish(view)
 		}
 		if !c.follow(ctx, snap) {
@@ -85,17 +92,18 @@
 // when ctx ends.
 func (c *Controller) follow(ctx context.Context, snap *blackboard.Snapshot[*blackboard.Config]) bool {
 	for {
+		changed := false
 		select {
 		case e := <-c.links:
-			c.takeLink(e)
+			changed = c.takeLink(e)
 		case e := <-c.statuses:
-			c.takeStatus(e)
+			changed = c.takeStatus(e)
 		case <-snap.Changed():
 			return true
 		case <-ctx.Done():
 			return false
 		}
-		if snap.Value.View != nil {
+		if changed && snap.Value.View != nil {
 			c.publish(snap.Value.View)
 		}
 	}
@@ -118,17 +126,24 @@
 	return a
 }
 
-func (c *Controller) takeLink(e peer.LinkEvent) {
+// takeLink returns whether the upstreams of the agent changed.
+func (c *Controller) takeLink(e peer.LinkEvent) bool {
 	a := c.agent(e.Address)
+	if a.connected == e.Up {
+		return false
+	}
 	a.connected = e.Up
 	if !e.Up {
 		a.states = make(map[string]fleet.UpstreamState)
 	}
 	c.log.Info().Str("agent", e.Address).Bool("connected", e.Up).Msg("agent connection")
+	return true
 }
 
-func (c *Controller) takeStatus(e statusEvent) {
+// takeStatus returns whether the upstreams of the agent changed.
+func (c *Controller) takeStatus(e statusEvent) bool {
 	a := c.agent(e.address)
+	changed := a.version != e.status.ConfigVersion
 	a.version = e.status.ConfigVersion
 	for _, r := range e.status.Reports {
 		state := r.State
@@ -136,11 +151,13 @@
 			state = fleet.Leaving
 		}
 		if old := a.states[r.Upstream]; old != state {
+			changed = true
 			c.log.Info().Str("upstream", r.Upstream).Stringer("from", old).Stringer("to", state).Msg("upstream state")
 		}
 		a.states[r.Upstream] = state
 		c.noteLoad(r)
 	}
+	return changed
 }
 
 func (c *Controller) noteLoad(r peer.Report) {
@@ -169,7 +186,7 @@
 	for i := range inv.Upstreams {
 		all = append(all, c.describe(view, &inv.Upstreams[i]))
 	}
-	c.board.Upstreams.Publish(blackboard.NewUpstreams(all))
+	c.board.Upstreams.Publish(blackboard.NewGroupedUpstreams(all, c.topology))
 }
 
 func (c *Controller) describe(view *fleet.View, spec *fleet.Upstream) *blackboard.Upstream {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -51,7 +51,7 @@
 	configs := configstore.New(table, objects)
 	reg := newRegistry()
 
-	ups := upstreams.New(g.board, logger)
+	ups := upstreams.New(g.board, settings.Name, settings.DataCentre, logger)
 	g.agents = peer.NewPool(g.agentHandlers(ups), ups.Link)
 	ups.SetConnector(g.agents)
 	members := membership.New(g.board, settings.Name, uuid.NewString(), logger)
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"github.com/baobablanding/baobablanding/fleet"
@@ -18,6 +19,25 @@
 type completionHead struct {
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
+	// Messages and Prompt hold the prompt in the caller's encoding.
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+// prefixBytes is the length of the start of a prompt by which requests are
+// brought to an engine that has it cached.
+const prefixBytes = 256
+
+// prefix returns a hash of the start of the prompt, or 0 if there is no prompt.
+func (h *completionHead) prefix() uint64 {
+	prompt := h.Messages
+	if len(prompt) == 0 {
+		prompt = h.Prompt
+	}
+	if len(prompt) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
 }
 
 // complete serves the endpoints that run a model.
@@ -48,6 +68,7 @@
 	}
 	req.Model = head.Model
 	req.Stream = head.Stream
+	req.Prefix = head.prefix()
 	req.Path = r.URL.Path
 	return req, nil
 }
--- a/peer/messages.go
+++ b/peer/messages.go
@@ -46,6 +46,9 @@
 	Stream bool `json:"stream,omitempty"`
 	// Idempotent tells that the request may run more than once.
 	Idempotent bool `json:"idempotent,omitempty"`
+	// NoWait tells that the request is refused rather than queued when no slot
+	// is free.
+	NoWait bool `json:"no_wait,omitempty"`
 	// Timeout is the time left until the request's deadline.
 	Timeout time.Duration `json:"timeout"`
 	// ConfigVersion is the version of the sender's configuration.
@@ -88,7 +91,8 @@
 	Upstream string `json:"upstream"`
 	// State is the state of the upstream.
 	State fleet.UpstreamState `json:"state"`
-	// InFlight is the number of requests at the upstream.
+	// InFlight is the number of online requests at the upstream. Batch requests
+	// give way to them and do not count.
 	InFlight int `json:"in_flight"`
 	// Queued is the number of online requests that wait at the agent.
 	Queued int `json:"queued"`
--- a/policy/route/route.go
+++ b/policy/route/route.go
@@ -2,6 +2,9 @@
 package route
 
 import (
+	"sort"
+	"time"
+
 	"github.com/baobablanding/baobablanding/blackboard"
 )
 
@@ -9,47 +12,141 @@
 type Request struct {
 	// DataCentre is where the gateway runs.
 	DataCentre string
+	// Prefix is a hash of the start of the prompt, or 0 if there is none.
+	Prefix uint64
 	// Tried reports upstreams that an earlier attempt of the request used.
 	Tried func(*blackboard.Upstream) bool
 	// Random is a random number that breaks ties.
 	Random uint64
+	// Now is the time of the decision.
+	Now time.Time
 }
 
-// remotePenalty is the extra load, in requests for each slot, at which a local
-// upstream is as good as an idle one in another data centre.
-const remotePenalty = 0.5
+// MaxAsks is the number of agents that are asked for a free slot before a
+// request waits at one.
+const MaxAsks = 3
+
+// RefusalHold is how long the refusal of an agent that names no time counts.
+const RefusalHold = 500 * time.Millisecond
+
+// Weights of the score, all in units of an upstream's full load.
+const (
+	// remotePenalty is what another data centre costs.
+	remotePenalty = 0.25
+	// prefixSaving is what a cached prefix saves.
+	prefixSaving = 0.6
+	// refusedPenalty keeps upstreams that refused lately for the case that there
+	// is no other.
+	refusedPenalty = 1000
+)
 
-// Choose returns the usable candidate with the lowest expected wait, or nil.
-func Choose(candidates []*blackboard.Upstream, req *Request) *blackboard.Upstream {
-	if len(candidates) == 0 {
+const (
+	// homes is the number of upstreams that keep the prompts of one prefix.
+	homes = 2
+	// homeWalk is the number of points of the ring in which homes are searched.
+	homeWalk = 12
+	// reportHalfLife is the age at which a report counts half.
+	reportHalfLife = time.Second
+	// usualLoad is the load that is assumed where nothing is reported.
+	usualLoad = 0.5
+)
+
+// Choose returns the upstream of the group with the lowest expected wait, less
+// what a cached prefix saves there, or nil if none is usable.
+func Choose(all []*blackboard.Upstream, group *blackboard.Group, req *Request) *blackboard.Upstream {
+	if group == nil {
 		return nil
 	}
-	var best *blackboard.Upstream
-	var bestScore float64
-	start := int(req.Random % uint64(len(candidates)))
-	for i := range candidates {
-		u := candidates[(start+i)%len(candidates)]
-		if !u.Usable() || req.Tried(u) {
+	c := choice{all: all, req: req}
+	c.considerHomes(group.Ring)
+	c.considerAll(group.Near)
+	if c.best == nil && len(group.Near) < len(group.Members) {
+		c.considerAll(group.Members)
+	}
+	return c.best
+}
+
+// choice is the best upstream found so far.
+type choice struct {
+	all   []*blackboard.Upstream
+	req   *Request
+	best  *blackboard.Upstream
+	score float64
+}
+
+// considerHomes considers the usable upstreams that follow the prefix on the
+// ring. Every gateway finds the same ones, so that prompts of one prefix meet in
+// the same caches.
+func (c *choice) considerHomes(ring []blackboard.RingPoint) {
+	if c.req.Prefix == 0 || len(ring) == 0 {
+		return
+	}
+	start := sort.Search(len(ring), func(i int) bool { return ring[i].Hash >= c.req.Prefix })
+	var found [homes]int32
+	n := 0
+	for i := range min(homeWalk, len(ring)) {
+		member := ring[(start+i)%len(ring)].Member
+		if n > 0 && found[0] == member || !c.all[member].Usable() {
 			continue
 		}
-		if s := score(u, req.DataCentre); best == nil || s < bestScore {
-			best, bestScore = u, s
+		found[n] = member
+		n++
+		c.consider(c.all[member], prefixSaving/float64(n))
+		if n == homes {
+			return
 		}
 	}
-	return best
 }
 
-// score returns the load of an upstream for each of its slots.
-func score(u *blackboard.Upstream, dataCentre string) float64 {
-	load := u.Load.InFlight.Load()
-	limit := u.Spec.Slots
+func (c *choice) considerAll(members []int32) {
+	if len(members) == 0 {
+		return
+	}
+	start := int(c.req.Random % uint64(len(members)))
+	for _, m := range members[start:] {
+		c.consider(c.all[m], 0)
+	}
+	for _, m := range members[:start] {
+		c.consider(c.all[m], 0)
+	}
+}
+
+func (c *choice) consider(u *blackboard.Upstream, saving float64) {
+	if !u.Usable() || c.req.Tried(u) {
+		return
+	}
+	s := Score(u, c.req) - saving
+	if c.best == nil || s < c.score {
+		c.best, c.score = u, s
+	}
+}
+
+// Score returns the expected load of an upstream, in units of its full load,
+// with what its distance costs.
+func Score(u *blackboard.Upstream, req *Request) float64 {
+	own := float64(u.Load.InFlight.Load())
+	limit := float64(u.Spec.Slots)
+	others := usualLoad * limit
 	if r := u.Load.Report.Load(); r != nil {
-		load = max(load, int64(r.InFlight+r.Queued)+load-r.OwnInFlight)
-		limit = max(r.Limit, 1)
+		limit = float64(max(r.Limit, 1))
+		reported := float64(max(0, int64(r.InFlight+r.Queued)-r.OwnInFlight))
+		trust := reportTrust(req.Now.Sub(r.At))
+		others = trust*reported + (1-trust)*usualLoad*limit
 	}
-	s := float64(load) / float64(limit)
-	if u.DataCentre != dataCentre {
+	s := (own + others) / limit
+	if u.DataCentre != req.DataCentre {
 		s += remotePenalty
 	}
+	if u.Load.RefusedUntil.Load() > req.Now.UnixNano() {
+		s += refusedPenalty
+	}
 	return s
 }
+
+// reportTrust returns the weight of a report of the given age.
+func reportTrust(age time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return float64(reportHalfLife) / float64(reportHalfLife+age)
+}
--- /dev/null
+++ b/policy/route/workload_test.go
@@ -0,0 +1,317 @@
+package route
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/fleet"
+)
+
+// workload describes the work on which policies are compared. Engines run up to
+// their slots at once and queue the rest; a gateway learns an engine's load only
+// from the answers it gets.
+type workload struct {
+	dataCentres, gateways, engines, slots int
+	cached                                int // prefixes that an engine keeps
+	prefixes                              int // prefixes that callers use
+	skew                                  float64
+	prefill, decode                       time.Duration
+	rate                                  float64 // requests a second
+	length                                time.Duration
+}
+
+const (
+	localTrip  = 250 * time.Microsecond // one way
+	remoteTrip = 1500 * time.Microsecond
+	cachedPart = 4 // a cached prompt takes a fourth of its prefill
+)
+
+// policy picks an upstream by what one gateway knows.
+type policy func(g *gatewayModel, req *Request) *blackboard.Upstream
+
+// compared is a policy with the number of agents that it asks for a free slot
+// before it lets a request wait.
+type compared struct {
+	name string
+	pick policy
+	asks int
+}
+
+// policies are what is compared.
+var policies = []compared{
+	{"random", pickRandom, 0},
+	{"least in-flight", pickLeastInFlight, 0},
+	{"two choices", pickTwoChoices, 0},
+	{"score of all", pickScore, 0},
+	{"score and prefix", pickChosen, 0},
+	{"random, asking", pickRandom, MaxAsks},
+	{"least in-flight, asking", pickLeastInFlight, MaxAsks},
+	{"two choices, asking", pickTwoChoices, MaxAsks},
+	{"score of all, asking", pickScore, MaxAsks},
+	{"score and prefix, asking", pickChosen, MaxAsks},
+}
+
+var (
+	pickRandom policy = func(g *gatewayModel, req *Request) *blackboard.Upstream {
+		return g.all[req.Random%uint64(len(g.all))]
+	}
+	pickLeastInFlight policy = func(g *gatewayModel, req *Request) *blackboard.Upstream {
+		return g.least(req, func(u *blackboard.Upstream) float64 { return float64(u.Load.InFlight.Load()) })
+	}
+	pickTwoChoices policy = func(g *gatewayModel, req *Request) *blackboard.Upstream {
+		a, b := g.all[req.Random%uint64(len(g.all))], g.all[(req.Random>>32)%uint64(len(g.all))]
+		if Score(a, req) <= Score(b, req) {
+			return a
+		}
+		return b
+	}
+	pickScore policy = func(g *gatewayModel, req *Request) *blackboard.Upstream {
+		return g.least(req, func(u *blackboard.Upstream) float64 { return Score(u, req) })
+	}
+	pickChosen policy = func(g *gatewayModel, req *Request) *blackboard.Upstream {
+		return Choose(g.all, g.group, req)
+	}
+)
+
+// gatewayModel is what one gateway knows.
+type gatewayModel struct {
+	dataCentre string
+	all        []*blackboard.Upstream
+	group      *blackboard.Group
+}
+
+func (g *gatewayModel) least(req *Request, cost func(*blackboard.Upstream) float64) *blackboard.Upstream {
+	start := int(req.Random % uint64(len(g.all)))
+	var best *blackboard.Upstream
+	for i := range g.all {
+		u := g.all[(start+i)%len(g.all)]
+		if !req.Tried(u) && (best == nil || cost(u) < cost(best)) {
+			best = u
+		}
+	}
+	return best
+}
+
+// engineModel is one engine with the queue at its agent.
+type engineModel struct {
+	running int
+	waiting []*job
+	cache   []uint64
+}
+
+// use returns whether the prefix was cached, and caches it.
+func (e *engineModel) use(prefix uint64, size int) bool {
+	i := slices.Index(e.cache, prefix)
+	if i >= 0 {
+		e.cache = slices.Delete(e.cache, i, i+1)
+	} else if len(e.cache) >= size {
+		e.cache = e.cache[1:]
+	}
+	e.cache = append(e.cache, prefix)
+	return i >= 0
+}
+
+type job struct {
+	gateway, engine int
+	prefix          uint64
+	tried           []*blackboard.Upstream
+	sent            time.Duration
+	trip            time.Duration
+	decode          time.Duration
+	upstream        *blackboard.Upstream
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// run is one run of a workload under a policy.
+type run struct {
+	w          workload
+	policy     compared
+	rng        *rand.Rand // of the workload, which no policy changes
+	ties       *rand.Rand // of the policy
+	zipf       *rand.Zipf
+	now        time.Duration
+	events     eventHeap
+	seq        int
+	gateways   []*gatewayModel
+	engines    []*engineModel
+	firstToken []time.Duration
+	hits       int
+	asked      int
+}
+
+// outcome is what a run measured.
+type outcome struct {
+	p50, p99 time.Duration
+	hitShare float64
+	asked    float64 // refusals of agents without a free slot for each request
+	requests int
+}
+
+func (w workload) run(p compared, seed uint64) outcome {
+	r := &run{w: w, policy: p, rng: rand.New(rand.NewPCG(seed, 1)), ties: rand.New(rand.NewPCG(seed, 2))}
+	r.zipf = rand.NewZipf(r.rng, w.skew, 1, uint64(w.prefixes-1))
+	r.build()
+	r.arrive()
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(event)
+		r.now = e.at
+		e.run()
+	}
+	slices.Sort(r.firstToken)
+	n := len(r.firstToken)
+	return outcome{
+		p50:      r.firstToken[n/2],
+		p99:      r.firstToken[n*99/100],
+		hitShare: float64(r.hits) / float64(n),
+		asked:    float64(r.asked) / float64(n),
+		requests: n,
+	}
+}
+
+// build makes the engines and what each gateway knows of them.
+func (r *run) build() {
+	inv := fleet.Inventory{}
+	for i := range r.w.dataCentres {
+		inv.DataCentres = append(inv.DataCentres, fleet.DataCentre{Name: fmt.Sprintf("dc-%d", i), Region: "region"})
+	}
+	for i := range r.w.engines {
+		name := fmt.Sprintf("engine-%d", i)
+		inv.VMs = append(inv.VMs, fleet.VM{Name: name, DataCentre: fmt.Sprintf("dc-%d", i%r.w.dataCentres)})
+		inv.Upstreams = append(inv.Upstreams, fleet.Upstream{Name: name, VM: name, Kind: fleet.Engine, Models: []string{"m"}, Slots: r.w.slots})
+		r.engines = append(r.engines, new(engineModel))
+	}
+	view := fleet.NewView(fleet.State{Inventory: inv})
+	for i := range r.w.gateways {
+		dc := fmt.Sprintf("dc-%d", i%r.w.dataCentres)
+		g := &gatewayModel{dataCentre: dc}
+		for j := range view.Inventory.Upstreams {
+			spec := &view.Inventory.Upstreams[j]
+			g.all = append(g.all, &blackboard.Upstream{
+				Spec: spec, DataCentre: view.DataCentreOf(spec), State: fleet.Ready, Connected: true, Load: new(blackboard.Load),
+			})
+		}
+		topology := blackboard.NewTopology(view, fmt.Sprintf("gateway-%d", i), dc)
+		g.group = blackboard.NewGroupedUpstreams(g.all, topology).ByModel("m")
+		r.gateways = append(r.gateways, g)
+	}
+}
+
+func (r *run) after(d time.Duration, f func()) {
+	r.seq++
+	heap.Push(&r.events, event{r.now + d, r.seq, f})
+}
+
+// arrive sends one request and plans the next.
+func (r *run) arrive() {
+	gap := time.Duration(r.rng.ExpFloat64() / r.w.rate * float64(time.Second))
+	if r.now+gap > r.w.length {
+		return
+	}
+	r.after(gap, func() {
+		r.send()
+		r.arrive()
+	})
+}
+
+func (r *run) clock() time.Time { return time.Unix(0, int64(r.now)) }
+
+// send makes a request at one of the gateways.
+func (r *run) send() {
+	r.attempt(&job{
+		gateway: r.rng.IntN(r.w.gateways),
+		prefix:  blackboard.Mix(r.zipf.Uint64()+1, 7),
+		sent:    r.now,
+		decode:  time.Duration(r.rng.ExpFloat64() * float64(r.w.decode)),
+	})
+}
+
+// attempt sends the request to the engine that the policy picks.
+func (r *run) attempt(j *job) {
+	g := r.gateways[j.gateway]
+	req := &Request{
+		DataCentre: g.dataCentre, Prefix: j.prefix, Random: r.ties.Uint64(), Now: r.clock(),
+		Tried: func(u *blackboard.Upstream) bool { return slices.Contains(j.tried, u) },
+	}
+	j.upstream = r.policy.pick(g, req)
+	j.engine = slices.Index(g.all, j.upstream)
+	j.upstream.Load.InFlight.Add(1)
+	j.trip = remoteTrip
+	if j.upstream.DataCentre == g.dataCentre {
+		j.trip = localTrip
+	}
+	r.after(j.trip, func() { r.receive(j) })
+}
+
+func (r *run) receive(j *job) {
+	e := r.engines[j.engine]
+	switch {
+	case e.running < r.w.slots:
+		r.start(e, j)
+	case len(j.tried) < r.policy.asks:
+		r.after(j.trip, func() { r.refused(j) })
+	default:
+		e.waiting = append(e.waiting, j)
+	}
+}
+
+// refused sends a request elsewhere.
+func (r *run) refused(j *job) {
+	r.asked++
+	j.tried = append(j.tried, j.upstream)
+	j.upstream.Load.InFlight.Add(-1)
+	j.upstream.Load.RefusedUntil.Store(r.clock().Add(RefusalHold).UnixNano())
+	r.attempt(j)
+}
+
+func (r *run) start(e *engineModel, j *job) {
+	e.running++
+	prefill := r.w.prefill
+	if e.use(j.prefix, r.w.cached) {
+		prefill /= cachedPart
+		r.hits++
+	}
+	r.firstToken = append(r.firstToken, r.now+prefill+j.trip-j.sent)
+	r.after(prefill+j.decode, func() { r.end(e, j) })
+}
+
+func (r *run) end(e *engineModel, j *job) {
+	e.running--
+	if len(e.waiting) > 0 {
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		r.start(e, next)
+	}
+	report := blackboard.LoadReport{InFlight: e.running, Queued: len(e.waiting), Limit: r.w.slots}
+	r.after(j.trip, func() {
+		load := j.upstream.Load
+		load.InFlight.Add(-1)
+		report.At = r.clock()
+		report.OwnInFlight = load.InFlight.Load()
+		load.Report.Store(&report)
+	})
+}
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -22,11 +24,14 @@
 	budget    *retry.Budget
 	sink      Sink
 	tried     []string
+	asked     []string // of tried: agents that had no free slot
 	started   bool
 	firstByte time.Time
 }
 
 // attempts tries upstreams until one answers or no further attempt is allowed.
+// It first asks a few agents for a free slot and only then lets the request wait
+// at one.
 func (s *Server) attempts(ctx context.Context, c *call) error {
 	state := retry.Attempt{
 		Limit:      c.view.Inventory.Rules.Attempts,
@@ -34,15 +39,20 @@
 	}
 	worst := result.NotRun
 	for number := 1; ; number++ {
-		up := s.choose(c)
+		up, noWait := s.next(c)
 		if up == nil {
 			return noUpstream(state.Err).WithVerdict(worst)
 		}
-		err := s.attempt(ctx, c, up, number)
+		err := s.attempt(ctx, c, up, number, noWait)
 		if err == nil {
 			return nil
 		}
 		failed := result.From(err)
+		if noWait && failed.Code == result.QueueFull && ctx.Err() == nil {
+			c.asked = append(c.asked, up.Spec.Name)
+			s.metrics.asks.Inc()
+			continue
+		}
 		worst = max(worst, failed.Verdict)
 		state.Started, state.Err = c.started, failed
 		if ctx.Err() != nil || !s.again(c, &state) {
@@ -52,6 +62,19 @@
 	}
 }
 
+// next returns the upstream for the next attempt, and whether the request is
+// refused there when no slot is free. When every upstream was asked in vain, it
+// returns one to wait at.
+func (s *Server) next(c *call) (up *blackboard.Upstream, noWait bool) {
+	noWait = len(c.asked) < route.MaxAsks
+	up = s.choose(c)
+	if up == nil && len(c.asked) > 0 {
+		c.tried = slices.DeleteFunc(c.tried, func(name string) bool { return slices.Contains(c.asked, name) })
+		return s.choose(c), false
+	}
+	return up, noWait
+}
+
 // again counts the failed attempt and tells whether another one follows.
 func (s *Server) again(c *call, state *retry.Attempt) bool {
 	redirect := retry.IsRedirect(state.Err)
@@ -80,12 +103,15 @@
 }
 
 // attempt runs the request at the upstream.
-func (s *Server) attempt(ctx context.Context, c *call, up *blackboard.Upstream, number int) error {
+func (s *Server) attempt(ctx context.Context, c *call, up *blackboard.Upstream, number int, noWait bool) error {
 	c.tried = append(c.tried, up.Spec.Name)
 	up.Load.InFlight.Add(1)
-	defer up.Load.InFlight.Add(-1)
-	resp, err := s.runner.Run(ctx, up.Agent, s.runRequest(ctx, c, up, number), c.chunk)
+	req := s.runRequest(ctx, c, up, number)
+	req.NoWait = noWait
+	resp, err := s.runner.Run(ctx, up.Agent, req, c.chunk)
+	up.Load.InFlight.Add(-1)
 	if err != nil {
+		noteRefusal(up, result.From(err))
 		return err
 	}
 	noteLoad(up, resp.Report)
@@ -94,41 +120,32 @@
 
 func (s *Server) choose(c *call) *blackboard.Upstream {
 	ups := s.board.Upstreams.Value()
-	req := route.Request{DataCentre: s.dataCentre, Tried: c.wasTried, Random: rand.Uint64()}
-	return route.Choose(candidates(ups, c), &req)
+	req := route.Request{
+		DataCentre: s.dataCentre,
+		Prefix:     c.Prefix,
+		Tried:      c.wasTried,
+		Random:     rand.Uint64(),
+		Now:        time.Now(),
+	}
+	return route.Choose(ups.All, candidates(ups, c), &req)
 }
 
 // candidates returns the upstreams that can run the call.
-func candidates(ups *blackboard.Upstreams, c *call) []*blackboard.Upstream {
+func candidates(ups *blackboard.Upstreams, c *call) *blackboard.Group {
 	if c.Route == nil {
 		if legacy := c.view.LegacyFor(c.workspace.Name, c.Model); legacy != nil {
-			return named(ups, legacy.Name)
+			return ups.Only(legacy.Name)
 		}
 		return ups.ByModel(c.Model)
 	}
 	if c.Route.Legacy != "" {
-		return named(ups, c.Route.Legacy)
-	}
-	return named(ups, c.Route.Upstreams...)
-}
-
-func named(ups *blackboard.Upstreams, names ...string) []*blackboard.Upstream {
-	found := make([]*blackboard.Upstream, 0, len(names))
-	for _, name := range names {
-		if u := ups.ByName(name); u != nil {
-			found = append(found, u)
-		}
+		return ups.Only(c.Route.Legacy)
 	}
-	return found
+	return ups.ByRoute(c.Route.Name)
 }
 
 func (c *call) wasTried(u *blackboard.Upstream) bool {
-	for _, name := range c.tried {
-		if name == u.Spec.Name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.tried, u.Spec.Name)
 }
 
 func (s *Server) runRequest(ctx context.Context, c *call, up *blackboard.Upstream, number int) *peer.RunRequest {
@@ -191,6 +208,16 @@
 	return c.write(resp.Body)
 }
 
+// noteRefusal keeps that the agent refused a request, whatever load it reported
+// before.
+func noteRefusal(up *blackboard.Upstream, e *result.Error) {
+	if e.Verdict != result.NotRun && e.Code != result.UpstreamOverloaded {
+		return
+	}
+	hold := min(cmp.Or(e.RetryAfter, route.RefusalHold), route.RefusalHold)
+	up.Load.RefusedUntil.Store(time.Now().Add(hold).UnixNano())
+}
+
 // noteLoad keeps the load that came with an answer.
 func noteLoad(up *blackboard.Upstream, r peer.Report) {
 	up.Load.Report.Store(&blackboard.LoadReport{
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -14,6 +14,7 @@
 	firstByte   *prometheus.HistogramVec
 	retries     prometheus.Counter
 	budgetEmpty prometheus.Counter
+	asks        prometheus.Counter
 }
 
 // NewMetrics returns metrics registered with reg.
@@ -37,6 +38,11 @@
 			Help: "Retries that the budget did not allow.",
 		}),
 	}
+	m.asks = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "baobab_asks_total",
+		Help: "Attempts that an agent refused because it had no free slot.",
+	})
+	reg.MustRegister(m.asks)
 	reg.MustRegister(m.requests, m.firstByte, m.retries, m.budgetEmpty)
 	return m
 }
--- a/serve/request.go
+++ b/serve/request.go
@@ -30,6 +30,8 @@
 	Accept string
 	// Body is the request's body.
 	Body []byte
+	// Prefix is a hash of the start of a model's prompt, or 0.
+	Prefix uint64
 	// Stream tells that the answer is passed on as it arrives.
 	Stream bool
 	// Received is when the request arrived.
