Route by score, shared prefix homes and the agents' own word

Need: the choice went by reports that ride on answers. At the target size a gateway hears of one engine every ten seconds or so; nothing knew of cached prefixes; every gateway scanned every engine.

- policy/route: score = own in-flight and reported load (halved each second of age) + distance - cached prefix; a refusal counts more than any report.

--- a/policy/route/route.go
+++ b/policy/route/route.go
@@ -47,8 +47,6 @@
 	homeWalk = 12
 	// reportHalfLife is the age at which a report counts half.
 	reportHalfLife = time.Second
-	// usualLoad is the load that is assumed where nothing is reported.
-	usualLoad = 0.5
 )
 
 // Choose returns the upstream of the group with the lowest expected wait, less
@@ -57,7 +55,7 @@
 	if group == nil {
 		return nil
 	}
-	c := choice{all: all, req: req}
+	c := choice{all: all, req: req, now: req.Now.UnixNano()}
 	c.considerHomes(group.Ring)
 	c.considerAll(group.Near)
 	if c.best == nil && len(group.Near) < len(group.Members) {
@@ -70,6 +68,7 @@
 type choice struct {
 	all   []*blackboard.Upstream
 	req   *Request
+	now   int64 // ns since 1970
 	best  *blackboard.Upstream
 	score float64
 }
@@ -115,29 +114,33 @@
 	if !u.Usable() || c.req.Tried(u) {
 		return
 	}
-	s := Score(u, c.req) - saving
+	s := score(u, c.req.DataCentre, c.now) - saving
 	if c.best == nil || s < c.score {
 		c.best, c.score = u, s
 	}
 }
 
 // Score returns the expected load of an upstream, in units of its full load,
-// with what its distance costs.
+// with what its distance costs. What is not known counts as idle: the agent
+// refuses where it is not.
 func Score(u *blackboard.Upstream, req *Request) float64 {
+	return score(u, req.DataCentre, req.Now.UnixNano())
+}
+
+func score(u *blackboard.Upstream, dataCentre string, now int64) float64 {
 	own := float64(u.Load.InFlight.Load())
 	limit := float64(u.Spec.Slots)
-	others := usualLoad * limit
+	others := 0.0
 	if r := u.Load.Report.Load(); r != nil {
 		limit = float64(max(r.Limit, 1))
 		reported := float64(max(0, int64(r.InFlight+r.Queued)-r.OwnInFlight))
-		trust := reportTrust(req.Now.Sub(r.At))
-		others = trust*reported + (1-trust)*usualLoad*limit
+		others = reported * reportTrust(time.Duration(now-r.At.UnixNano()))
 	}
 	s := (own + others) / limit
-	if u.DataCentre != req.DataCentre {
+	if u.DataCentre != dataCentre {
 		s += remotePenalty
 	}
-	if u.Load.RefusedUntil.Load() > req.Now.UnixNano() {
+	if u.Load.RefusedUntil.Load() > now {
 		s += refusedPenalty
 	}
 	return s
--- a/policy/route/route_test.go
+++ b/policy/route/route_test.go
@@ -137,6 +137,7 @@
 			}
 			req := request(1, 1)
 			b.ReportAllocs()
+			b.ResetTimer()
 			for i := range b.N {
 				req.Prefix = blackboard.Mix(uint64(i), 3)
 				req.Random = req.Prefix
@@ -157,6 +158,7 @@
 	}
 	req := request(0, 1)
 	b.ReportAllocs()
+	b.ResetTimer()
 	for range b.N {
 		if Choose(g.all, g.group, req) == nil {
 			b.Fatal("nothing chosen")
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -27,6 +27,8 @@
 	asked     []string // of tried: agents that had no free slot
 	started   bool
 	firstByte time.Time
+	admitted  time.Time // when the rate admitted it
+	tracker   tracker
 }
 
 // attempts tries upstreams until one answers or no further attempt is allowed.
@@ -178,6 +180,7 @@
 			return err
 		}
 	}
+	c.tracker.chunk()
 	return c.write(part.Data)
 }
 
--- a/serve/server.go
+++ b/serve/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/peer"
@@ -31,15 +32,31 @@
 // *result.Error; once sink was started, it means that the answer broke off.
 func (s *Server) Serve(ctx context.Context, req *Request, sink Sink) error {
 	view := s.board.Config.Value().View
-	call, err := s.admit(view, req)
+	call, err := s.admit(ctx, view, req)
 	if err != nil {
-		s.metrics.refused(err)
+		s.refused(req, err)
 		return err
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, view.Inventory.Rules.RequestTimeout, context.DeadlineExceeded)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if call.workspace != nil {
+		go s.watchKey(ctx, req.Key, end)
+	}
 	call.sink = sink
-	err = s.attempts(ctx, call)
+	call.tracker = newTracker(s.board.Objectives.Value(), call.workspaceName(), routeName(req))
+	if err = s.confirm(ctx, call); err == nil {
+		err = withdrawn(ctx, s.attempts(ctx, call))
+	}
 	s.metrics.done(call, err)
 	return err
 }
+
+// refused counts a request that was not admitted. Its workspace is not known,
+// so only objectives for all workspaces cover it.
+func (s *Server) refused(req *Request, err error) {
+	s.metrics.refused(err)
+	t := newTracker(s.board.Objectives.Value(), "", routeName(req))
+	t.done(req.Received, time.Time{}, err)
+}
