Find the owner of a relayed connection, and await each lost answer

Cause: the list of sockets held 39,322 lines, most of them closed connections without an inode, and the first line with the address could be one of them. Ruled out: entries missed while the list changes (20 reads in a row gave the same miss).

Seen: TestLostAnswersAreNotRepeated, '7 calls failed, not 10'. Cause: the test held that 20 calls reach each of two services at least 5 times, which routing does not promise.

--- a/devfleet/owner.go
+++ b/devfleet/owner.go
@@ -16,6 +16,10 @@
 	tcpInode        = 9
 )
 
+// noInode stands in place of the inode of a closed connection, whose address
+// another socket may have again.
+const noInode = "0"
+
 // ownerOf returns the process, among those that each yields, that owns the
 // socket with the local TCP address.
 func ownerOf(address net.Addr, each func(func(pid, _ any) bool)) (int, error) {
@@ -51,7 +55,7 @@
 	scanner := bufio.NewScanner(file)
 	for scanner.Scan() {
 		fields := strings.Fields(scanner.Text())
-		if len(fields) > tcpInode && fields[tcpLocalAddress] == want {
+		if len(fields) > tcpInode && fields[tcpLocalAddress] == want && fields[tcpInode] != noInode {
 			return fields[tcpInode], nil
 		}
 	}
--- a/prooftest/requests_test.go
+++ b/prooftest/requests_test.go
@@ -171,8 +171,13 @@
 	}
 	var record history.Recorder
 	c := processCaller(f, 0, &record)
-	for n := range 4 * losses {
-		c.call(t.Context(), order, fmt.Sprintf("order-%d", n))
+	calls := 0
+	for ; calls < 40*losses && record.Count(history.Failed) < 2*losses; calls++ {
+		c.call(t.Context(), order, fmt.Sprintf("order-%d", calls))
+	}
+	for range 4 * losses {
+		c.call(t.Context(), order, fmt.Sprintf("order-%d", calls))
+		calls++
 	}
 	checkRequests(t, order, record.Calls(), arrivals(t, &f.Inventory), f.Keys)
 	if got := record.Count(history.Failed); got != 2*losses {
