--- a/agent/admission.go
+++ b/agent/admission.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +33,8 @@
 	coldStarts atomic.Int64
 	// service is the usual time of a request in ns.
 	service atomic.Int64
+	// batchRunning is the length of batch.
+	batchRunning atomic.Int64
 
 	mu      sync.Mutex // guards what follows; taken only off the fast path
 	waiting *queue.Fair[*waiter]
@@ -92,7 +93,7 @@
 	if known := d.coldStarts.Load(); known != up.ColdStarts && d.coldStarts.CompareAndSwap(known, up.ColdStarts) {
 		d.meter.Reset(d.meter.Epoch())
 	}
-	return ramp.Limit(up.Spec, up.State, d.meter.Completed())
+	return ramp.Limit(up.Spec, up.CurrentState(), d.meter.Completed())
 }
 
 // acquire takes a slot for the request, and waits for one if it is online. The
@@ -110,7 +111,13 @@
 	if req.Class == fleet.Batch {
 		return nil, result.New(result.QueueFull, result.NotRun).After(d.retryAfter(limit))
 	}
-	return d.wait(ctx, req, g)
+	if !req.NoWait {
+		return d.wait(ctx, req, g)
+	}
+	if d.takeFromBatch(up, limit) {
+		return g.start(), nil
+	}
+	return nil, result.New(result.QueueFull, result.NotRun).After(d.retryAfter(limit))
 }
 
 // start notes when the request of the grant begins.
@@ -166,7 +173,7 @@
 	select {
 	case err = <-w.ready:
 	case <-timer.C:
-		err = d.abandon(entry, w, result.New(result.QueueTimeout, result.NotRun))
+		err = d.abandon(entry, w, result.New(result.QueueTimeout, result.NotRun).After(minRetryAfter))
 	case <-ctx.Done():
 		err = d.abandon(entry, w, cancelled(ctx, result.NotRun))
 	}
@@ -255,62 +262,6 @@
 	}
 }
 
-// preemptFor ends batch requests in favour of those that wait. On an upstream
-// with all slots open the slot changes hands at once; one that still recovers
-// must finish with the batch request first. The caller holds the mutex.
-func (d *admission) preemptFor(up *blackboard.Upstream, limit int) {
-	for waiting(d.slots.Load()) > d.preempted() {
-		g := d.newestBatch()
-		if g == nil {
-			return
-		}
-		if limit == up.Spec.Slots && used(d.slots.Load()) <= limit {
-			g.transferred = true
-			d.batch = slices.DeleteFunc(d.batch, func(b *grant) bool { return b == g })
-			d.slots.Add(^(oneWaiting - 1))
-			d.grantNext()
-		}
-		d.end(g)
-	}
-}
-
-// end cancels a batch request.
-func (d *admission) end(g *grant) {
-	g.preempt(result.New(result.Preempted, result.MayHaveRun))
-	g.preempt = nil
-	d.metrics.preempted.Inc()
-}
-
-// newestBatch returns the newest batch request that still runs, or nil.
-func (d *admission) newestBatch() *grant {
-	for _, g := range slices.Backward(d.batch) {
-		if g.preempt != nil {
-			return g
-		}
-	}
-	return nil
-}
-
-// preempted returns the number of ended batch requests that still hold a slot.
-func (d *admission) preempted() int {
-	n := 0
-	for _, g := range d.batch {
-		if g.preempt == nil {
-			n++
-		}
-	}
-	return n
-}
-
-func (d *admission) addBatch(g *grant) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.batch = append(d.batch, g)
-	if up, err := d.current(); err == nil {
-		d.preemptFor(up, d.limit(up))
-	}
-}
-
 // release gives the slot of the grant back.
 func (d *admission) release(g *grant) {
 	if g.class == fleet.Batch && !d.removeBatch(g) {
@@ -332,15 +283,6 @@
 	d.pump()
 }
 
-// removeBatch forgets a batch request. It returns false if its slot went to an
-// online request.
-func (d *admission) removeBatch(g *grant) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.batch = slices.DeleteFunc(d.batch, func(b *grant) bool { return b == g })
-	return !g.transferred
-}
-
 // refresh acts on a change of the upstream's state.
 func (d *admission) refresh() {
 	d.mu.Lock()
@@ -407,17 +349,21 @@
 // turnedCold notes a sign that the upstream lost its state since the grant was
 // made.
 func (d *admission) turnedCold(g *grant) {
-	if d.meter.Reset(g.epoch) {
-		d.metrics.coldSigns.Inc()
-		d.refresh()
+	if !d.meter.Reset(g.epoch) {
+		return
+	}
+	d.metrics.coldSigns.Inc()
+	if up, err := d.current(); err == nil {
+		up.Load.ColdSigns.Add(1)
 	}
+	d.refresh()
 }
 
 // idle returns the number of slots that batch requests may take now.
 func (d *admission) idle() int {
 	up, err := d.current()
 	s := d.slots.Load()
-	if err != nil || up.State != fleet.Ready || waiting(s) > 0 {
+	if err != nil || up.CurrentState() != fleet.Ready || waiting(s) > 0 {
 		return 0
 	}
 	return max(0, d.limit(up)-used(s))
