--- a/batch/history_test.go
+++ b/batch/history_test.go
@@ -128,7 +128,7 @@
 		if rand.IntN(2) == 0 && a.Renew(ctx, c) == nil {
 			time.Sleep(rand.N(2 * historyLease))
 		}
-		if rand.IntN(3) > 0 {
+		if rand.IntN(2) > 0 {
 			continue // it vanishes
 		}
 		results := &Results{Output: fmt.Appendf(nil, "%d\n", c.Epoch), Completed: 1}
@@ -151,10 +151,17 @@
 	return chunkResult{ok: true, epoch: epoch, unknown: err != nil && !errors.Is(err, io.EOF)}
 }
 
+func (a *acceptTest) cancel(h *chunkHistory, client int, job *Job) {
+	h.record(client, chunkOp{kind: "cancel"}, func() chunkResult {
+		_, err := a.Cancel(context.Background(), job.Workspace, job.ID)
+		return chunkResult{ok: err == nil, unknown: err != nil}
+	})
+}
+
 // TestChunkHistoriesAreLinearizable runs claims, late commits, cancels and
 // reads of one chunk against a store that loses answers and is out at times.
 func TestChunkHistoriesAreLinearizable(t *testing.T) {
-	const runs, workers, runTime = 12, 4, 400 * time.Millisecond
+	const runs, workers, runTime = 24, 4, 200 * time.Millisecond
 	commits := 0
 	for run := range runs {
 		a := newAcceptTest(t)
@@ -172,18 +179,19 @@
 				a.claimer(h, id, stop)
 			}()
 		}
+		cancelAt := time.Now().Add(rand.N(runTime / 2))
+		cancelled := run%2 == 1
 		for time.Now().Before(stop) {
+			if !cancelled && time.Now().After(cancelAt) {
+				cancelled = true
+				a.platform.Set(standin.Faults{})
+				a.cancel(h, workers, &job)
+			}
 			a.platform.Set(standin.Faults{LoseAnswers: rand.IntN(3), Outage: rand.IntN(4) == 0})
 			time.Sleep(rand.N(30 * time.Millisecond))
 			h.record(workers, chunkOp{kind: "read"}, func() chunkResult { return a.read(&job) })
 		}
 		a.platform.Set(standin.Faults{})
-		if run%2 == 0 {
-			h.record(workers, chunkOp{kind: "cancel"}, func() chunkResult {
-				_, err := a.Cancel(t.Context(), job.Workspace, job.ID)
-				return chunkResult{ok: err == nil, unknown: err != nil}
-			})
-		}
 		wg.Wait()
 		h.record(workers, chunkOp{kind: "read"}, func() chunkResult { return a.read(&job) })
 		if r := porcupine.CheckOperationsTimeout(chunkModel.ToModel(), h.ops, checkTimeout); r != porcupine.Ok {
