--- a/fleettest/keys_test.go
+++ b/fleettest/keys_test.go
@@ -1,8 +1,10 @@
 package fleettest_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"mime/multipart"
 	"net/http"
 	"strings"
 	"testing"
@@ -70,6 +72,36 @@
 	}
 }
 
+// TestBatchFileWithTheKeyIsRefused uploads a file whose items carry the key.
+func TestBatchFileWithTheKeyIsRefused(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{})
+	key := f.Keys["garrafon"]
+	for _, content := range []string{key, `\u006b` + key[1:], "harmless"} {
+		var form bytes.Buffer
+		w := multipart.NewWriter(&form)
+		part, err := w.CreateFormFile("file", "items.jsonl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(part, "{\"custom_id\":%q}\n", content)
+		w.Close()
+		req, err := http.NewRequest(http.MethodPost, f.URL(0)+"/v1/files", &form)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Content-Type", w.FormDataContentType())
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if refused := resp.StatusCode == http.StatusBadRequest; refused != (content != "harmless") {
+			t.Errorf("a file with %q: status %d", content, resp.StatusCode)
+		}
+	}
+}
+
 // TestHostileRequestsCarryNoKeyToAnUpstream sends the caller's own key in every
 // part that is passed on.
 func TestHostileRequestsCarryNoKeyToAnUpstream(t *testing.T) {
--- a/gateway/files.go
+++ b/gateway/files.go
@@ -60,7 +60,15 @@
 	if err != nil {
 		return err
 	}
-	f, err := g.jobs.PutFile(r.Context(), workspace.Name, part.FileName(), part)
+	key, err := readCredential(r.Header)
+	if err != nil {
+		return err
+	}
+	content := key.guard(part)
+	f, err := g.jobs.PutFile(r.Context(), workspace.Name, part.FileName(), content)
+	if content.leaks {
+		return errFileLeaks
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return bodyError(err, limit)
--- a/gateway/leak.go
+++ b/gateway/leak.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 
 	"github.com/baobablanding/baobablanding/result"
@@ -35,6 +36,38 @@
 	return nil
 }
 
+// errFileLeaks refuses a batch file whose items would carry the caller's key.
+var errFileLeaks = result.Errorf(result.BadRequest, "the file contains the key")
+
+// overlapPerByte is how many bytes an encoded byte of a key may take.
+const overlapPerByte = 16
+
+// guardedReader reads a file and fails when it contains the key.
+type guardedReader struct {
+	from  io.Reader
+	key   []byte
+	seen  []byte // the end of what was read
+	leaks bool
+}
+
+// guard returns a reader of the file that fails when it contains the key.
+func (c credential) guard(file io.Reader) *guardedReader {
+	return &guardedReader{from: file, key: []byte(c.text)}
+}
+
+// Read implements io.Reader.
+func (g *guardedReader) Read(p []byte) (int, error) {
+	n, err := g.from.Read(p)
+	g.seen = append(g.seen, p[:n]...)
+	if containsEncoded(g.seen, g.key) {
+		g.leaks = true
+		return 0, errFileLeaks
+	}
+	overlap := min(len(g.seen), len(g.key)*overlapPerByte)
+	g.seen = append(g.seen[:0], g.seen[len(g.seen)-overlap:]...)
+	return n, err
+}
+
 // containsEncoded tells whether text contains the key, plain or encoded.
 func containsEncoded(text, key []byte) bool {
 	for range maxDecodings {
--- a/gateway/leak_test.go
+++ b/gateway/leak_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 )
 
 func TestCheckLeak(t *testing.T) {
@@ -53,6 +55,29 @@
 	}
 }
 
+func TestGuardFindsTheKeyAcrossReads(t *testing.T) {
+	const key = "bl-secret_Key.1"
+	c := credential{text: key}
+	padding := strings.Repeat(`{"custom_id":"a \\n"}`+"\n", 100)
+	for _, hidden := range []string{key, jsonEscaped(key), "%62l-secret_Key.1"} {
+		for size := 1; size <= 64; size *= 2 {
+			g := c.guard(iotest.DataErrReader(strings.NewReader(padding + hidden + padding)))
+			if _, err := io.CopyBuffer(onlyWriter{io.Discard}, onlyReader{g}, make([]byte, size)); err == nil || !g.leaks {
+				t.Errorf("%q was not found with reads of %d bytes", hidden, size)
+			}
+		}
+	}
+	data, err := io.ReadAll(c.guard(strings.NewReader(padding)))
+	if err != nil || string(data) != padding {
+		t.Errorf("a harmless file was changed or refused: %v", err)
+	}
+}
+
+// onlyReader and onlyWriter hide every other method, so that copying uses the
+// given buffer.
+type onlyReader struct{ io.Reader }
+type onlyWriter struct{ io.Writer }
+
 // jsonEscaped returns the text with each character as a JSON escape.
 func jsonEscaped(text string) string {
 	const digits = "0123456789abcdef"
