Depend less on a workspace's home while it is paused

Cause: gateways with little traffic kept nothing of their base share, so that all their requests waited for the home; while it was paused they were refused.

A gateway now keeps the next larger step of what its traffic needs. Loans of idle shares last the period and 2.2 s instead of 3 s. A gateway that was silent for 1.5 periods is passed over as a home.

--- a/controller/limits/compare_test.go
+++ b/controller/limits/compare_test.go
@@ -18,6 +18,7 @@
 	skew     float64 // part of the requests that go to the first gateway
 	kill     bool    // end one gateway in the middle
 	restart  bool    // and start it again after 5 s
+	pause    bool    // pause one gateway, the workspace's home, for 8 s
 	allowed  float64 // part of the requests that may be refused wrongly
 }
 
@@ -32,6 +33,11 @@
 const (
 	usually   = 0.001
 	nearLimit = 0.01
+	// pausedHome is the part while the home of the workspace is paused and its
+	// loans have not ended.
+	pausedHome = 0.02
+	// pausedSmallBurst is the same when no other gateway holds a whole token.
+	pausedSmallBurst = 0.15
 )
 
 var traffics = []traffic{
@@ -44,6 +50,8 @@
 	{name: "0.5/s, burst 5, 8 gateways", gateways: 8, rate: 0.5, burst: 5, load: 0.5, allowed: usually},
 	{name: "one killed, 50%", gateways: 3, rate: 40, burst: 20, load: 0.5, kill: true, allowed: usually},
 	{name: "one restarted, 50%", gateways: 3, rate: 40, burst: 20, load: 0.5, kill: true, restart: true, allowed: usually},
+	{name: "home paused 8 s, 30%", gateways: 3, rate: 40, burst: 20, load: 0.3, pause: true, allowed: pausedHome},
+	{name: "home paused 8 s, burst 3, 8 gateways", gateways: 8, rate: 20, burst: 3, load: 0.3, pause: true, allowed: pausedSmallBurst},
 	{name: "overload, 500%", gateways: 3, rate: 40, burst: 20, load: 5, allowed: nearLimit},
 }
 
@@ -92,8 +100,11 @@
 		if tr.restart && !last.alive && s.now.After(restartAt) {
 			last.start()
 		}
+		if tr.pause && s.now.After(killAt) && s.now.Before(restartAt) {
+			s.pauseHome()
+		}
 		i := tr.pick(arrivals)
-		if !s.gateways[i].alive {
+		if !s.gateways[i].alive || s.gateways[i].paused.After(s.now) {
 			continue
 		}
 		o.offered++
@@ -110,6 +121,23 @@
 	return o
 }
 
+// pauseHome pauses the gateway that gathers the workspace's shares, unless one
+// is paused.
+func (s *simulation) pauseHome() {
+	const length = 8 * time.Second
+	for _, g := range s.gateways {
+		if !g.paused.IsZero() {
+			return
+		}
+	}
+	for _, g := range s.gateways {
+		if len(g.ledger.spaces[simWorkspace].Account().In) > 0 {
+			g.paused = s.now.Add(length)
+			return
+		}
+	}
+}
+
 func (tr traffic) pick(arrivals *rand.Rand) int {
 	if arrivals.Float64() < tr.skew {
 		return 0
--- a/controller/limits/ledger.go
+++ b/controller/limits/ledger.go
@@ -66,6 +66,10 @@
 	gone        bool
 }
 
+// silentPeriods is the number of periods between messages after which a silent
+// gateway is passed over as a home.
+const silentPeriods = 1.5
+
 // NewLedger returns a ledger of a process that starts now.
 func NewLedger(incarnation string, metrics *Metrics, now time.Time) *Ledger {
 	return &Ledger{
@@ -279,6 +283,15 @@
 	return true
 }
 
+// responsive returns the gateways that were heard lately. Each one asks the
+// others for idle shares once in a period.
+func (l *Ledger) responsive(reachable []string, now time.Time) []string {
+	longest := time.Duration(silentPeriods * float64(share.IdlePeriod(l.gateways())))
+	return slices.DeleteFunc(slices.Clone(reachable), func(g string) bool {
+		return now.Sub(l.peer(g, now).heard) > longest
+	})
+}
+
 // Lend answers a request of another gateway.
 func (l *Ledger) Lend(req peer.LendRequest, now time.Time) (peer.LendResponse, error) {
 	l.mu.Lock()
--- a/controller/limits/limits.go
+++ b/controller/limits/limits.go
@@ -130,7 +130,7 @@
 		return
 	}
 	c.asked, c.gathered = key, now
-	for _, out := range c.ledger.Gather(reachable) {
+	for _, out := range c.ledger.Gather(reachable, now) {
 		go c.lend(ctx, out, callTimeout)
 	}
 }
@@ -179,7 +179,7 @@
 
 // ask asks the workspace's home for tokens.
 func (c *Controller) ask(w *workspace, tokens int, batch bool) answer {
-	out, ok := c.ledger.Question(w, tokens, batch, c.reachable())
+	out, ok := c.ledger.Question(w, tokens, batch, c.reachable(), time.Now())
 	if !ok {
 		return answer{}
 	}
--- a/controller/limits/plan.go
+++ b/controller/limits/plan.go
@@ -41,13 +41,13 @@
 
 // Gather returns the requests that ask each reachable gateway for its idle
 // shares of the workspaces whose home is here.
-func (l *Ledger) Gather(reachable []string) []outgoing {
+func (l *Ledger) Gather(reachable []string, now time.Time) []outgoing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.self == "" {
 		return nil
 	}
-	candidates := append([]string{l.self}, reachable...)
+	candidates := append([]string{l.self}, l.responsive(reachable, now)...)
 	var asks []share.Ask
 	for _, w := range l.view.Inventory.Workspaces {
 		if l.eras[len(l.eras)-1].Has(l.self) && share.Home(w.Name, candidates) == l.self {
@@ -69,7 +69,7 @@
 	if l.self == "" {
 		return nil
 	}
-	candidates := append([]string{l.self}, reachable...)
+	candidates := append([]string{l.self}, l.responsive(reachable, now)...)
 	asks := make(map[string][]share.Ask)
 	for name, w := range l.spaces {
 		home := share.Home(name, candidates)
@@ -97,9 +97,9 @@
 	if l.self == "" {
 		return nil
 	}
-	candidates := reachable
+	candidates := l.responsive(reachable, now)
 	if !stopping {
-		candidates = append([]string{l.self}, reachable...)
+		candidates = append(candidates, l.self)
 	}
 	returns := make(map[string][]share.Return)
 	for name, w := range l.spaces {
@@ -122,10 +122,10 @@
 
 // Question returns the request that asks the workspace's home for tokens, or
 // false when the home is here.
-func (l *Ledger) Question(w *workspace, tokens int, batch bool, reachable []string) (outgoing, bool) {
+func (l *Ledger) Question(w *workspace, tokens int, batch bool, reachable []string, now time.Time) (outgoing, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	home := share.Home(w.name, append([]string{l.self}, reachable...))
+	home := share.Home(w.name, append([]string{l.self}, l.responsive(reachable, now)...))
 	if l.self == "" || home == l.self {
 		return outgoing{}, false
 	}
--- a/controller/limits/simulation_test.go
+++ b/controller/limits/simulation_test.go
@@ -178,7 +178,7 @@
 		return
 	}
 	g.gathered = s.now
-	for _, out := range g.ledger.Gather(reachable) {
+	for _, out := range g.ledger.Gather(reachable, s.now) {
 		g.lend(out, nil)
 	}
 }
@@ -303,7 +303,7 @@
 		s.refused++
 		return
 	}
-	out, ok := g.ledger.Question(w, 1, false, g.reachable())
+	out, ok := g.ledger.Question(w, 1, false, g.reachable(), s.now)
 	if !ok {
 		s.refused++
 		return
@@ -311,6 +311,7 @@
 	end := func() {
 		if open {
 			s.refused++
+			g.quiet = s.now.Add(g.backoff.after(1, answer{}))
 		}
 		open = false
 	}
--- a/policy/share/lend.go
+++ b/policy/share/lend.go
@@ -13,7 +13,7 @@
 	Margin = 400 * time.Millisecond
 	// IdleLifeExtra is by how much a loan of an idle share outlives the period
 	// after which it is asked for again.
-	IdleLifeExtra = 3 * time.Second
+	IdleLifeExtra = 2200 * time.Millisecond
 
 	minIdlePeriod     = time.Second
 	idlePeriodPerPeer = 250 * time.Millisecond
@@ -166,7 +166,7 @@
 	if s.Demand <= idleDemand || base.Rate <= 0 {
 		return Amount{}
 	}
-	part := min(1-keptStep, math.Floor(localPart*s.Demand/base.Rate/keptStep)*keptStep)
+	part := min(1-keptStep, math.Ceil(localPart*s.Demand/base.Rate/keptStep)*keptStep)
 	kept := base.Scale(part)
 	kept.Burst = min(kept.Burst, localBurst(kept.Rate))
 	if kept.Burst < 1 {
