--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -53,7 +53,7 @@
 	configs := configstore.New(table, objects)
 	reg := newRegistry()
 
-	ups := upstreams.New(g.board, logger)
+	ups := upstreams.New(g.board, settings.Name, settings.DataCentre, logger)
 	rates := limits.New(g.board, settings.Name, limits.NewMetrics(reg))
 	g.agents = peer.NewPool(merge(g.agentHandlers(ups), rates.AgentHandlers()), ups.Link)
 	ups.SetConnector(g.agents)
--- a/load/capacity_bench_test.go
+++ b/load/capacity_bench_test.go
@@ -136,11 +136,14 @@
 		for i := range s.Inventory.Upstreams {
 			s.Inventory.Upstreams[i].Models = []string{"model-0"}
 		}
-		candidates := blackboard.NewUpstreams(upstreamsOf(&s)).ByModel("model-0")
+		topology := blackboard.NewTopology(fleet.NewView(s), "gateway-1", "dc-1")
+		ups := blackboard.NewGroupedUpstreams(upstreamsOf(&s), topology)
+		group := ups.ByModel("model-0")
 		req := route.Request{DataCentre: "dc-1", Tried: func(*blackboard.Upstream) bool { return false }}
 		for b.Loop() {
 			req.Random++
-			if route.Choose(candidates, &req) == nil {
+			req.Prefix = blackboard.Mix(req.Random, 1)
+			if route.Choose(ups.All, group, &req) == nil {
 				b.Fatal("no upstream")
 			}
 		}
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -22,6 +24,7 @@
 	budget    *retry.Budget
 	sink      Sink
 	tried     []string
+	asked     []string // of tried: agents that had no free slot
 	started   bool
 	firstByte time.Time
 	admitted  time.Time // when the rate admitted it
@@ -29,45 +32,88 @@
 }
 
 // attempts tries upstreams until one answers or no further attempt is allowed.
+// It first asks a few agents for a free slot and only then lets the request wait
+// at one.
 func (s *Server) attempts(ctx context.Context, c *call) error {
-	limit := c.view.Inventory.Rules.Attempts
+	state := retry.Attempt{
+		Limit:      c.view.Inventory.Rules.Attempts,
+		Idempotent: c.idempotent(),
+	}
 	worst := result.NotRun
 	for number := 1; ; number++ {
-		err := s.attempt(ctx, c, number)
+		up, noWait := s.next(c)
+		if up == nil {
+			return noUpstream(state.Err).WithVerdict(worst)
+		}
+		err := s.attempt(ctx, c, up, number, noWait)
 		if err == nil {
 			return nil
 		}
 		failed := result.From(err)
-		worst = max(worst, failed.Verdict)
-		again := retry.Again(retry.Attempt{
-			Number:     number,
-			Limit:      limit,
-			Idempotent: c.idempotent(),
-			Started:    c.started,
-			Err:        failed,
-		})
-		if !again || ctx.Err() != nil {
-			return failed.WithVerdict(worst)
+		if noWait && failed.Code == result.QueueFull && ctx.Err() == nil {
+			c.asked = append(c.asked, up.Spec.Name)
+			s.metrics.asks.Inc()
+			continue
 		}
-		if !c.budget.Spend() {
-			s.metrics.budgetEmpty.Inc()
+		worst = max(worst, failed.Verdict)
+		state.Started, state.Err = c.started, failed
+		if ctx.Err() != nil || !s.again(c, &state) {
 			return failed.WithVerdict(worst)
 		}
 		s.metrics.retries.Inc()
 	}
 }
 
-// attempt runs the request at one upstream.
-func (s *Server) attempt(ctx context.Context, c *call, number int) error {
-	up := s.choose(c)
-	if up == nil {
-		return result.New(result.NoUpstream, result.NotRun).After(time.Second)
+// next returns the upstream for the next attempt, and whether the request is
+// refused there when no slot is free. When every upstream was asked in vain, it
+// returns one to wait at.
+func (s *Server) next(c *call) (up *blackboard.Upstream, noWait bool) {
+	noWait = len(c.asked) < route.MaxAsks
+	up = s.choose(c)
+	if up == nil && len(c.asked) > 0 {
+		c.tried = slices.DeleteFunc(c.tried, func(name string) bool { return slices.Contains(c.asked, name) })
+		return s.choose(c), false
+	}
+	return up, noWait
+}
+
+// again counts the failed attempt and tells whether another one follows.
+func (s *Server) again(c *call, state *retry.Attempt) bool {
+	redirect := retry.IsRedirect(state.Err)
+	if redirect {
+		state.Redirects++
+	} else {
+		state.Tries++
+	}
+	if !retry.Again(*state) {
+		return false
+	}
+	if redirect || c.budget.Spend() {
+		return true
+	}
+	s.metrics.budgetEmpty.Inc()
+	return false
+}
+
+// noUpstream returns the last attempt's failure, or that there was no upstream
+// to try.
+func noUpstream(last *result.Error) *result.Error {
+	if last != nil {
+		return last
 	}
+	return result.New(result.NoUpstream, result.NotRun).After(time.Second)
+}
+
+// attempt runs the request at the upstream.
+func (s *Server) attempt(ctx context.Context, c *call, up *blackboard.Upstream, number int, noWait bool) error {
 	c.tried = append(c.tried, up.Spec.Name)
 	up.Load.InFlight.Add(1)
-	defer up.Load.InFlight.Add(-1)
-	resp, err := s.runner.Run(ctx, up.Agent, s.runRequest(ctx, c, up, number), c.chunk)
+	req := s.runRequest(ctx, c, up, number)
+	req.NoWait = noWait
+	resp, err := s.runner.Run(ctx, up.Agent, req, c.chunk)
+	up.Load.InFlight.Add(-1)
 	if err != nil {
+		noteRefusal(up, result.From(err))
 		return err
 	}
 	noteLoad(up, resp.Report)
@@ -76,41 +122,32 @@
 
 func (s *Server) choose(c *call) *blackboard.Upstream {
 	ups := s.board.Upstreams.Value()
-	req := route.Request{DataCentre: s.dataCentre, Tried: c.wasTried, Random: rand.Uint64()}
-	return route.Choose(candidates(ups, c), &req)
+	req := route.Request{
+		DataCentre: s.dataCentre,
+		Prefix:     c.Prefix,
+		Tried:      c.wasTried,
+		Random:     rand.Uint64(),
+		Now:        time.Now(),
+	}
+	return route.Choose(ups.All, candidates(ups, c), &req)
 }
 
 // candidates returns the upstreams that can run the call.
-func candidates(ups *blackboard.Upstreams, c *call) []*blackboard.Upstream {
+func candidates(ups *blackboard.Upstreams, c *call) *blackboard.Group {
 	if c.Route == nil {
 		if legacy := c.view.LegacyFor(c.workspace.Name, c.Model); legacy != nil {
-			return named(ups, legacy.Name)
+			return ups.Only(legacy.Name)
 		}
 		return ups.ByModel(c.Model)
 	}
 	if c.Route.Legacy != "" {
-		return named(ups, c.Route.Legacy)
-	}
-	return named(ups, c.Route.Upstreams...)
-}
-
-func named(ups *blackboard.Upstreams, names ...string) []*blackboard.Upstream {
-	found := make([]*blackboard.Upstream, 0, len(names))
-	for _, name := range names {
-		if u := ups.ByName(name); u != nil {
-			found = append(found, u)
-		}
+		return ups.Only(c.Route.Legacy)
 	}
-	return found
+	return ups.ByRoute(c.Route.Name)
 }
 
 func (c *call) wasTried(u *blackboard.Upstream) bool {
-	for _, name := range c.tried {
-		if name == u.Spec.Name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.tried, u.Spec.Name)
 }
 
 func (s *Server) runRequest(ctx context.Context, c *call, up *blackboard.Upstream, number int) *peer.RunRequest {
@@ -174,6 +211,16 @@
 	return c.write(resp.Body)
 }
 
+// noteRefusal keeps that the agent refused a request, whatever load it reported
+// before.
+func noteRefusal(up *blackboard.Upstream, e *result.Error) {
+	if e.Verdict != result.NotRun && e.Code != result.UpstreamOverloaded {
+		return
+	}
+	hold := min(cmp.Or(e.RetryAfter, route.RefusalHold), route.RefusalHold)
+	up.Load.RefusedUntil.Store(time.Now().Add(hold).UnixNano())
+}
+
 // noteLoad keeps the load that came with an answer.
 func noteLoad(up *blackboard.Upstream, r peer.Report) {
 	up.Load.Report.Store(&blackboard.LoadReport{
