Count a load below half as no reason to prefer an upstream

Now what is unknown counts half, and less than half counts as half: an engine below its knee is no slower for it, so requests spread over all of those.

--- a/policy/route/route.go
+++ b/policy/route/route.go
@@ -47,6 +47,9 @@
 	homeWalk = 12
 	// reportHalfLife is the age at which a report counts half.
 	reportHalfLife = time.Second
+	// usualLoad is the load that is assumed where nothing is known. Less than
+	// that makes no upstream better, so that requests spread over all of them.
+	usualLoad = 0.5
 )
 
 // Choose returns the upstream of the group with the lowest expected wait, less
@@ -121,8 +124,7 @@
 }
 
 // Score returns the expected load of an upstream, in units of its full load,
-// with what its distance costs. What is not known counts as idle: the agent
-// refuses where it is not.
+// with what its distance costs.
 func Score(u *blackboard.Upstream, req *Request) float64 {
 	return score(u, req.DataCentre, req.Now.UnixNano())
 }
@@ -130,13 +132,14 @@
 func score(u *blackboard.Upstream, dataCentre string, now int64) float64 {
 	own := float64(u.Load.InFlight.Load())
 	limit := float64(u.Spec.Slots)
-	others := 0.0
+	others := usualLoad * limit
 	if r := u.Load.Report.Load(); r != nil {
 		limit = float64(max(r.Limit, 1))
 		reported := float64(max(0, int64(r.InFlight+r.Queued)-r.OwnInFlight))
-		others = reported * reportTrust(time.Duration(now-r.At.UnixNano()))
+		trust := reportTrust(time.Duration(now - r.At.UnixNano()))
+		others = trust*reported + (1-trust)*usualLoad*limit
 	}
-	s := (own + others) / limit
+	s := max((own+others)/limit, usualLoad)
 	if u.DataCentre != dataCentre {
 		s += remotePenalty
 	}
