--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -43,6 +43,9 @@
 	Slots int
 	// ColdSlots is the number of requests an engine gets in cold start.
 	ColdSlots int
+	// BatchLease is how long a claim on batch work lasts; 0 takes the daemons'
+	// default.
+	BatchLease time.Duration
 	// Edit changes the inventory before it is applied. It may be nil.
 	Edit func(*fleet.Inventory)
 	// Distance is the time one way between two data centres. It delays what
@@ -278,6 +281,7 @@
 	}
 	return f.runDaemon("agent-"+vm.Name, "baobab-agent", config.Settings{
 		Name: vm.Name, DataCentre: vm.DataCentre, Peer: f.listen[vm.Name], Metrics: metrics,
+		BatchLease: f.opts.BatchLease,
 	})
 }
 
