End running streams of a gateway that can no longer vouch for keys

Need: a withdrawn key must stop working within seconds also for callers that are still connected to a gateway cut off from the store and its peers; until now only new requests were refused there.

Mechanism: Board.Current is published when the configuration's freshness ends or returns; each running request waits on it beside the configuration, and ends with 5004. Ruled out: waiting on Freshness itself, which is published four times a second and would wake every running stream as often.

TestIsolatedGatewayStopsServing without it: 'the running stream goes on'; with it, -race -count=4: ok.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -16,6 +16,9 @@
 	// Freshness is how long the configuration may be used without new evidence
 	// that it is current.
 	Freshness Section[Freshness]
+	// Current tells whether the configuration may be used. Unlike Freshness, it
+	// is published only when that changes, for those who wait for it.
+	Current Section[bool]
 	// Phase is the life cycle of the process.
 	Phase Section[Phase]
 	// Upstreams is the set of upstreams and what is known of each.
--- a/controller/freshness/freshness.go
+++ b/controller/freshness/freshness.go
@@ -16,16 +16,15 @@
 const interval = 250 * time.Millisecond
 
 // Controller weighs the last contacts with the store and the other gateways. It
-// writes Board.Freshness.
+// writes Board.Freshness and Board.Current.
 type Controller struct {
 	board *blackboard.Board
 	log   *log.Logger
-	fresh bool
 }
 
 // New returns a Controller.
 func New(board *blackboard.Board, logger *log.Logger) *Controller {
-	return &Controller{board: board, log: logger, fresh: true}
+	return &Controller{board: board, log: logger}
 }
 
 // Run keeps the board up to date until ctx ends.
@@ -54,9 +53,22 @@
 		others = append(others, contact.Gateway{Heard: m.Heard, StoreRead: m.StoreRead, Dead: m.Refused})
 	}
 	until := contact.Until(now, c.board.Contact.Value().StoreRead, others, bound)
+	current := now.Before(until)
+	if current {
+		c.setCurrent(true)
+	}
 	c.board.Freshness.Publish(blackboard.Freshness{Until: until})
-	if fresh := now.Before(until); fresh != c.fresh {
-		c.fresh = fresh
-		c.log.Info().Bool("current", fresh).Msg("configuration freshness")
+	if !current {
+		c.setCurrent(false)
+	}
+}
+
+// setCurrent publishes whether the configuration may be used, if that changed.
+// It is called before a request can be admitted and after none can be.
+func (c *Controller) setCurrent(current bool) {
+	if c.board.Current.Value() == current {
+		return
 	}
+	c.board.Current.Publish(current)
+	c.log.Info().Bool("current", current).Msg("configuration freshness")
 }
--- a/fleettest/config_test.go
+++ b/fleettest/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,9 +62,18 @@
 	}
 }
 
+// longStream asks for a stream of more than a minute.
+const longStream = `{"model":"test-model","stream":true,"max_tokens":60000,"messages":[{"role":"user","content":"hello"}]}`
+
 func TestIsolatedGatewayStopsServing(t *testing.T) {
 	rules := fleet.Rules{Isolation: time.Second}
 	f := fleettest.Start(t, fleettest.Options{Gateways: 2, Rules: rules, Relay: true, RelayPeers: true})
+	stream := make(chan string, 1)
+	go func() {
+		_, body := f.Call(context.Background(), 1, "garrafon", http.MethodPost, "/v1/chat/completions", longStream)
+		stream <- body
+	}()
+	f.Eventually("the stream runs", func() bool { return f.Engines[0].Running() == 1 })
 	f.Relays["gateway-2"].Cut()
 	f.PeerRelays["gateway-1"].Cut()
 	f.PeerRelays["gateway-2"].Cut()
@@ -71,6 +81,14 @@
 		status, _ := f.Chat(context.Background(), 1, "garrafon", "hello", false)
 		return status == http.StatusServiceUnavailable
 	})
+	select {
+	case body := <-stream:
+		if !strings.Contains(body, `"code":5004`) || strings.Contains(body, "[DONE]") {
+			t.Errorf("the running stream ended with %q", body[max(0, len(body)-300):])
+		}
+	case <-time.After(inForceBound):
+		t.Error("the running stream goes on")
+	}
 	if status, body := f.Chat(context.Background(), 0, "garrafon", "hello", false); status != http.StatusOK {
 		t.Errorf("the other gateway answered %d %s", status, body)
 	}
--- a/serve/server.go
+++ b/serve/server.go
@@ -42,12 +42,12 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	if call.workspace != nil {
-		go s.watchKey(ctx, req.Key, end)
+		go s.watch(ctx, req.Key, end)
 	}
 	call.sink = sink
 	call.tracker = newTracker(s.board.Objectives.Value(), call.workspaceName(), routeName(req))
 	if err = s.confirm(ctx, call); err == nil {
-		err = withdrawn(ctx, s.attempts(ctx, call))
+		err = ended(ctx, s.attempts(ctx, call))
 	}
 	s.metrics.done(call, err)
 	return err
