Measure filling past the agents' ramps

TestIdleSlotsAreFilled took 700 to 710 ms in five runs until all slots were in use. The first starts came 15 to 256 ms after the request and then doubled with each round of items: the agent ramps an upstream up by completed work after its start, the dispatcher does not wait.

--- a/controller/dispatch/fleet_test.go
+++ b/controller/dispatch/fleet_test.go
@@ -147,6 +147,8 @@
 	engine := standin.DefaultEngine
 	engine.PerToken = 20 * time.Millisecond
 	f := fleettest.Start(t, fleettest.Options{Engines: 2, Engine: engine, Rules: fleet.Rules{ChunkItems: 40}})
+	warm, _ := create(f, 0, upload(t, f, 0, prompts(200))) // ends the agents' ramps
+	awaitStatus(f, 0, warm.ID, "completed")
 	file := upload(t, f, 0, prompts(400))
 	start := time.Now()
 	job, _ := create(f, 0, file)
@@ -158,6 +160,9 @@
 	first, last := time.Now(), time.Time{}
 	for _, e := range f.Engines {
 		for _, s := range e.Seen() {
+			if s.At.Before(start) {
+				continue
+			}
 			if s.At.Before(first) {
 				first = s.At
 			}
