--- a/controller/limits/ledger.go
+++ b/controller/limits/ledger.go
@@ -1,7 +1,6 @@
 package limits
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,14 +12,6 @@
 	"github.com/baobablanding/baobablanding/result"
 )
 
-// silentLimit is after what time without a word a gateway of an earlier
-// configuration counts as stopped. It is longer than a gateway that reaches
-// neither the store nor a peer keeps serving.
-const silentLimit = 30 * time.Second
-
-// silentFactor is the same as a multiple of the isolation rule.
-const silentFactor = 3
-
 // faults switches parts of the mechanism off, for tests that show what each
 // part is for.
 type faults struct {
@@ -168,96 +159,6 @@
 	}
 }
 
-// start begins to serve, and to use the base shares, when that is safe.
-func (l *Ledger) start(now time.Time) {
-	if !l.serving && l.loansOver(now) {
-		l.serving = true
-		close(l.started)
-	}
-	if !l.active && l.serving && l.pastKnown(now) {
-		l.active = true
-		l.metrics.active.Set(1)
-	}
-}
-
-func (l *Ledger) base(workspace string) share.Amount {
-	if !l.active {
-		return share.Amount{}
-	}
-	return l.eras.Base(workspace, l.self)
-}
-
-// followedBy returns the version that the gateway's shares follow, and whether
-// it has stopped.
-func (l *Ledger) followedBy(gateway string, now time.Time) (uint64, bool) {
-	if gateway == l.self {
-		return l.view.Version, false
-	}
-	p := l.peer(gateway, now)
-	return p.version, p.gone || l.stoppedAlone(gateway, now)
-}
-
-// stoppedAlone tells whether a removed gateway is silent for so long that it no
-// longer serves. Silent gateways that are more than half of an inventory may
-// keep each other in service.
-func (l *Ledger) stoppedAlone(gateway string, now time.Time) bool {
-	if !l.silent(gateway, now) {
-		return false
-	}
-	for _, e := range l.eras {
-		count := 0
-		for _, g := range e.Gateways {
-			if l.silent(g, now) {
-				count++
-			}
-		}
-		if e.Has(gateway) && 2*count > len(e.Gateways) {
-			return false
-		}
-	}
-	return true
-}
-
-// silent tells whether a removed gateway was not heard of for long.
-func (l *Ledger) silent(gateway string, now time.Time) bool {
-	if l.eras[len(l.eras)-1].Has(gateway) {
-		return false
-	}
-	return now.Sub(l.peer(gateway, now).heard) > max(silentLimit, silentFactor*l.view.Inventory.Rules.Isolation)
-}
-
-// loansOver tells whether no loan of a former process of this gateway is in use
-// any more.
-func (l *Ledger) loansOver(now time.Time) bool {
-	longest := share.IdleLife(l.gateways()) + share.Margin
-	if l.faults.startAtOnce || now.Sub(l.origin) > longest {
-		return true
-	}
-	for _, g := range l.others() {
-		if p := l.peer(g, now); !p.released || now.Before(p.holdUntil) {
-			return false
-		}
-	}
-	return true
-}
-
-// pastKnown tells whether no gateway follows a configuration that this process
-// never saw.
-func (l *Ledger) pastKnown(now time.Time) bool {
-	if l.faults.raiseAtOnce || now.Sub(l.origin) > silentLimit {
-		return true
-	}
-	allFresh := true
-	for _, g := range l.others() {
-		p := l.peer(g, now)
-		if p.settled >= l.eras[0].Version {
-			return true
-		}
-		allFresh = allFresh && p.released && p.settled == 0
-	}
-	return allFresh
-}
-
 func (l *Ledger) header() peer.ShareHeader {
 	h := peer.ShareHeader{From: l.self, Incarnation: l.incarnation, Version: l.reported}
 	if l.active {
@@ -403,101 +304,6 @@
 	})
 }
 
-// Release takes in that a new process of another gateway has started. Its
-// former process has ended, since both need the same address.
-func (l *Ledger) Release(req peer.ReleaseRequest, now time.Time) (peer.ReleaseResponse, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.self == "" {
-		return peer.ReleaseResponse{}, result.New(result.ConfigMissing, result.NotRun)
-	}
-	p := l.peer(req.From, now)
-	resp := peer.ReleaseResponse{}
-	if p.incarnation != req.Incarnation {
-		p.incarnation = req.Incarnation
-		resp.HoldFor = l.drop(req.From, now)
-	}
-	l.hear(req.ShareHeader, now)
-	resp.ShareHeader = l.header()
-	return resp, nil
-}
-
-// drop ends the loans from the peer's former process and returns how long
-// loans that depend on them still run.
-func (l *Ledger) drop(from string, now time.Time) time.Duration {
-	hold := time.Duration(0)
-	for _, w := range l.spaces {
-		w.Change(now, func(a share.Account, level float64) (share.Account, float64) {
-			a = a.WithoutFrom(from).Shortened(from, now.Add(share.LoanLife+share.Margin))
-			if b := a.Balance(); b.Rate < 0 || b.Burst < 0 {
-				for _, out := range a.Out {
-					hold = max(hold, out.End.Sub(now))
-				}
-			}
-			return a, level
-		})
-	}
-	return hold
-}
-
-// Released takes in the answer to a ReleaseRequest.
-func (l *Ledger) Released(resp peer.ReleaseResponse, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.peer(resp.From, now)
-	p.incarnation = resp.Incarnation
-	l.hear(resp.ShareHeader, now)
-	p.released = true
-	p.holdUntil = now.Add(resp.HoldFor)
-	l.update(now)
-}
-
-// Ended takes in that the peer's process has certainly ended, as looked up
-// after the given time. What it had borrowed may be lent on to others until the
-// time of a loan has passed.
-func (l *Ledger) Ended(address string, lookedUp, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.peer(address, now)
-	if p.heard.After(lookedUp) {
-		return // a new process
-	}
-	p.gone = true
-	if !p.released {
-		p.released = true
-		p.holdUntil = now.Add(share.LoanLife + share.Margin)
-	}
-	for _, w := range l.spaces {
-		w.Change(now, func(a share.Account, level float64) (share.Account, float64) {
-			return a.Shortened(address, now.Add(share.LoanLife+share.Margin)), level
-		})
-	}
-}
-
-// Unconfirmed returns the gateways whose end would free something: those that
-// borrow from here, and those that follow or may follow an old configuration.
-func (l *Ledger) Unconfirmed() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	found := make(map[string]bool)
-	for _, w := range l.spaces {
-		for _, out := range w.Account().Out {
-			found[out.Peer] = true
-		}
-	}
-	for g, p := range l.peers {
-		if g != l.self && (!p.released || p.version < l.reported) {
-			found[g] = true
-		}
-	}
-	for g := range found {
-		if l.peers[g] != nil && l.peers[g].gone {
-			delete(found, g)
-		}
-	}
-	return slices.Sorted(maps.Keys(found))
-}
-
 // Version returns the version of the configuration.
 func (l *Ledger) Version() uint64 {
 	l.mu.Lock()
