Stop gateways and agents without cutting a request

Need: a gateway that stopped refused new requests at once and closed idle connections while callers used them; an agent closed its connections as soon as the last request had ended, possibly before its answer was written and read.

- A new phase, leaving: /readyz is 503 and each answer closes its connection (Connection: close) while requests are still taken, for one second; then the gateway drains as before.
- An agent keeps its connections 100 ms after the last request.
- serve: the second copy of the phase check is gone.

Mechanism off, then on (go test -run PlannedStop ./fleettest): - closing by answers off: "6 requests failed; last: ... connection refused" - agent's wait off: "6 of 74 streams failed" - on: ok, 3 times; with the 503 of a draining gateway in place of the leaving phase: "16 requests failed; last: answered 503 draining"

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -145,6 +145,7 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
+	pause(ctx, answerTime)
 	a.Kill()
 	return err
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -95,6 +95,26 @@
 	return server, nil
 }
 
+// Times of a planned stop.
+const (
+	// leaveTime is how long a gateway still takes requests while its balancer and
+	// its callers notice that it leaves.
+	leaveTime = time.Second
+	// answerTime is how long an agent keeps its connections after the last
+	// request, so that gateways read the last answers.
+	answerTime = 100 * time.Millisecond
+)
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // group runs controllers until it is stopped.
 type group struct {
 	ctx    context.Context
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -152,6 +152,9 @@
 
 // Stop implements Process.
 func (g *Gateway) Stop(ctx context.Context) error {
+	g.board.Phase.Publish(blackboard.Leaving)
+	g.http.Leave()
+	pause(ctx, leaveTime)
 	g.board.Phase.Publish(blackboard.Draining)
 	err := g.http.Shutdown(ctx)
 	g.release()
--- /dev/null
+++ b/fleettest/stop_test.go
@@ -0,0 +1,113 @@
+package fleettest_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/fleettest"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+// slowStreams is an engine whose streams last for some time.
+func slowStreams() standin.EngineOptions {
+	o := standin.DefaultEngine
+	o.PerToken = 50 * time.Millisecond
+	return o
+}
+
+func TestPlannedStopOfAgentsCutsNoStream(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Gateways: 2, Engines: 3, Engine: slowStreams()})
+	l := startLoad(f, 12, true)
+	for _, vm := range f.Inventory.VMs {
+		f.Eventually("the load is under way", func() bool { return l.answered.Load() > 12 })
+		stopProcess(t, f.Agents[vm.Name])
+		time.Sleep(100 * time.Millisecond)
+		f.StartAgent(vm.Name)
+		f.WaitServing()
+	}
+	l.stop()
+	if n := l.failed.Load(); n != 0 {
+		t.Errorf("%d of %d streams failed; last: %s", n, n+l.answered.Load(), l.lastFailure())
+	}
+}
+
+func stopProcess(t *testing.T, p interface{ Stop(context.Context) error }) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := p.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestPlannedStopOfAGatewayCutsNoRequest lets callers with connections of their
+// own use one gateway until it closes them, as HTTP asks, and then another one.
+func TestPlannedStopOfAGatewayCutsNoRequest(t *testing.T) {
+	f := fleettest.Start(t, fleettest.Options{Gateways: 2, Engines: 2})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var answered, failed atomic.Int64
+	var last atomic.Value
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			gateway := 0
+			for n := 0; ctx.Err() == nil; n++ {
+				closed, err := chatOnce(client, f, gateway, i%2 == 0)
+				if err != nil {
+					failed.Add(1)
+					last.Store(fmt.Sprintf("gateway %d request %d: %v", gateway+1, n, err))
+					return
+				}
+				answered.Add(1)
+				if closed {
+					gateway = 1
+				}
+			}
+		}()
+	}
+	f.Eventually("the load is under way", func() bool { return answered.Load() > 50 })
+	stopProcess(t, f.Gateways["gateway-1"])
+	delete(f.Gateways, "gateway-1")
+	time.Sleep(200 * time.Millisecond)
+	cancel()
+	wg.Wait()
+	if n := failed.Load(); n != 0 {
+		t.Errorf("%d requests failed; last: %v", n, last.Load())
+	}
+}
+
+// chatOnce returns whether the gateway closes the connection after its answer.
+func chatOnce(client *http.Client, f *fleettest.Fleet, gateway int, stream bool) (bool, error) {
+	body := fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`, fleettest.Model, stream)
+	req, err := http.NewRequest(http.MethodPost, f.URL(gateway)+"/v1/chat/completions", bytes.NewBufferString(body))
+	if err != nil {
+		return false, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+f.Keys["garrafon"])
+	resp, err := client.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return false, err
+	}
+	if resp.StatusCode != http.StatusOK || stream && !fleettest.IsWholeStream(string(answer)) {
+		return false, fmt.Errorf("answered %d %s", resp.StatusCode, answer)
+	}
+	return resp.Close, nil
+}
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/logx"
@@ -44,6 +45,7 @@
 type Server struct {
 	http     http.Server
 	listener net.Listener
+	leaving  atomic.Bool
 	done     chan error
 }
 
@@ -59,7 +61,6 @@
 	}
 	s := &Server{
 		http: http.Server{
-			Handler:           handler,
 			ReadHeaderTimeout: opts.ReadHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
@@ -67,6 +68,7 @@
 		listener: listener,
 		done:     make(chan error, 1),
 	}
+	s.http.Handler = s.closing(handler)
 	go func() { s.done <- s.http.Serve(listener) }()
 	return s, nil
 }
@@ -94,6 +96,20 @@
 	return http.HandlerFunc(built.Serve), nil
 }
 
+// closing asks callers to close their connections once Leave was called.
+func (s *Server) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Leave makes each later answer the last one on its connection, so that callers
+// go elsewhere without losing a request.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Addr returns the address on which the server listens.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/serve/admit.go
+++ b/serve/admit.go
@@ -14,7 +14,7 @@
 	if view == nil {
 		return nil, result.New(result.ConfigMissing, result.NotRun)
 	}
-	if err := s.checkPhase(); err != nil {
+	if err := Accepting(s.board.Phase.Value()); err != nil {
 		return nil, err
 	}
 	if time.Now().After(s.board.Freshness.Value().Until) {
@@ -46,7 +46,7 @@
 // Accepting returns an error unless a process in the phase takes new requests.
 func Accepting(p blackboard.Phase) error {
 	switch p {
-	case blackboard.Serving:
+	case blackboard.Serving, blackboard.Leaving:
 		return nil
 	case blackboard.Starting:
 		return result.New(result.Starting, result.NotRun).After(time.Second)
@@ -118,17 +118,6 @@
 	return s.takeRate(ctx, c)
 }
 
-func (s *Server) checkPhase() error {
-	switch s.board.Phase.Value() {
-	case blackboard.Serving:
-		return nil
-	case blackboard.Starting:
-		return result.Errorf(result.ConfigMissing, "the gateway is starting").After(time.Second)
-	default:
-		return result.New(result.Draining, result.NotRun).After(time.Second)
-	}
-}
-
 func routeName(req *Request) string {
 	if req.Route != nil {
 		return req.Route.Name
