--- a/load/table.go
+++ b/load/table.go
@@ -30,8 +30,15 @@
 	return nil
 }
 
+// maxSendLag is the p99 of late sending, in milliseconds, above which a run's
+// latencies say more about the machine than about the fleet.
+const maxSendLag = 3
+
 func writeFooter(w io.Writer, r *Result) {
 	fmt.Fprintf(w, "latencies in ms from the intended send time; requests were sent at most %.2f ms late (p99 %.2f)\n", r.SendLag.Max, r.SendLag.P99)
+	if r.SendLag.P99 > maxSendLag {
+		fmt.Fprintln(w, "the machine was too busy to send on time: latencies of this run tell little")
+	}
 	if len(r.Overall.Refused) > 0 {
 		fmt.Fprintf(w, "refusals: %s\n", refusals(r.Overall.Refused))
 	}
