--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,81 @@
+package config_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/baobablanding/baobablanding/config"
+)
+
+// addFiles adds files as seeds of a fuzz test.
+func addFiles(f *testing.F, paths ...string) {
+	f.Helper()
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+}
+
+// FuzzParseInventory checks that an accepted inventory is the same after it was
+// written and read again.
+func FuzzParseInventory(f *testing.F) {
+	addFiles(f, "../examples/garrafon.yaml", "../examples/guild.yaml")
+	f.Add([]byte("workspaces:\n- name: a\n  rate: .nan\n"))
+	f.Add([]byte("rules: {online_wait: -1s}\n"))
+	f.Add([]byte("a: &a [*a]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		inv, err := config.ParseInventory("fuzz", data)
+		if err != nil {
+			return
+		}
+		text, err := config.FormatInventory(&inv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := config.ParseInventory("fuzz", text)
+		if err != nil {
+			t.Fatalf("an accepted inventory is refused after writing: %v\n%s", err, text)
+		}
+		second, err := config.FormatInventory(&again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(text) != string(second) {
+			t.Errorf("the inventory changed by writing:\n%s\n%s", text, second)
+		}
+	})
+}
+
+// FuzzParseSettings checks that accepted settings are the same after they were
+// written and read again.
+func FuzzParseSettings(f *testing.F) {
+	addFiles(f, "../examples/gateway-settings.yaml", "../examples/agent-settings.yaml")
+	f.Add([]byte("drain: -1s\n"))
+	f.Add([]byte("platform: 3\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, role := range []config.Role{config.GatewayRole, config.AgentRole} {
+			s, err := config.ParseSettings("fuzz", data, role)
+			if err != nil {
+				continue
+			}
+			text, err := config.FormatSettings(&s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			again, err := config.ParseSettings("fuzz", text, role)
+			if err != nil {
+				t.Fatalf("accepted settings are refused after writing: %v\n%s", err, text)
+			}
+			second, err := config.FormatSettings(&again)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if string(text) != string(second) {
+				t.Errorf("the settings changed by writing:\n%s\n%s", text, second)
+			}
+		}
+	})
+}
