--- a/controller/limits/plan.go
+++ b/controller/limits/plan.go
@@ -41,13 +41,13 @@
 
 // Gather returns the requests that ask each reachable gateway for its idle
 // shares of the workspaces whose home is here.
-func (l *Ledger) Gather(reachable []string) []outgoing {
+func (l *Ledger) Gather(reachable []string, now time.Time) []outgoing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.self == "" {
 		return nil
 	}
-	candidates := append([]string{l.self}, reachable...)
+	candidates := append([]string{l.self}, l.responsive(reachable, now)...)
 	var asks []share.Ask
 	for _, w := range l.view.Inventory.Workspaces {
 		if l.eras[len(l.eras)-1].Has(l.self) && share.Home(w.Name, candidates) == l.self {
@@ -69,7 +69,7 @@
 	if l.self == "" {
 		return nil
 	}
-	candidates := append([]string{l.self}, reachable...)
+	candidates := append([]string{l.self}, l.responsive(reachable, now)...)
 	asks := make(map[string][]share.Ask)
 	for name, w := range l.spaces {
 		home := share.Home(name, candidates)
@@ -89,19 +89,23 @@
 
 // Returns returns the requests that give back loans early: those that their
 // lender needs, those that this gateway no longer needs, and those that it
-// gathered as the home of a workspace that has another home now.
-func (l *Ledger) Returns(reachable []string, now time.Time) []outgoing {
+// gathered as the home of a workspace that has another home now. A gateway that
+// stops is no home and gives back everything.
+func (l *Ledger) Returns(reachable []string, stopping bool, now time.Time) []outgoing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.self == "" {
 		return nil
 	}
-	candidates := append([]string{l.self}, reachable...)
+	candidates := l.responsive(reachable, now)
+	if !stopping {
+		candidates = append(candidates, l.self)
+	}
 	returns := make(map[string][]share.Return)
 	for name, w := range l.spaces {
 		home := share.Home(name, candidates)
 		for _, in := range w.Account().In {
-			if !w.unneeded(in, home == l.self, now) {
+			if !stopping && !w.unneeded(in, home == l.self, now) {
 				continue
 			}
 			if r, ok := w.giveBack(in.Peer, now); ok {
@@ -118,10 +122,10 @@
 
 // Question returns the request that asks the workspace's home for tokens, or
 // false when the home is here.
-func (l *Ledger) Question(w *workspace, tokens int, batch bool, reachable []string) (outgoing, bool) {
+func (l *Ledger) Question(w *workspace, tokens int, batch bool, reachable []string, now time.Time) (outgoing, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	home := share.Home(w.name, append([]string{l.self}, reachable...))
+	home := share.Home(w.name, append([]string{l.self}, l.responsive(reachable, now)...))
 	if l.self == "" || home == l.self {
 		return outgoing{}, false
 	}
--- a/policy/share/lend.go
+++ b/policy/share/lend.go
@@ -13,7 +13,7 @@
 	Margin = 400 * time.Millisecond
 	// IdleLifeExtra is by how much a loan of an idle share outlives the period
 	// after which it is asked for again.
-	IdleLifeExtra = 3 * time.Second
+	IdleLifeExtra = 2200 * time.Millisecond
 
 	minIdlePeriod     = time.Second
 	idlePeriodPerPeer = 250 * time.Millisecond
@@ -24,6 +24,10 @@
 	localPart = 0.8
 	// keptRate is the smallest part of its base rate that a lender keeps.
 	keptRate = 1.0 / 64
+	// reservePart is the smallest part of its base share that a lender keeps if
+	// the burst of that part is at least one request. It serves callers while
+	// the workspace's home is out of reach.
+	reservePart = 1.0 / 8
 	// keptStep is the step of the part of its base share that a lender keeps.
 	keptStep = 0.25
 	// minLocalBurst and localBurstTime are the requests and the time at the
@@ -140,9 +144,11 @@
 // what it has lent to others than the peer.
 func (s Lender) idle(present Amount) Amount {
 	base := s.Account.Base
-	kept := s.kept()
-	unused := base.Minus(kept)
+	unused := base.Minus(s.kept())
 	unused.Rate = min(unused.Rate, base.Rate*(1-keptRate))
+	if base.Burst*reservePart >= 1 {
+		unused = unused.Min(base.Scale(1 - reservePart))
+	}
 	if unused.Rate < present.Rate && unused.Rate >= present.Rate-base.Rate*keptStep {
 		unused = present
 	}
@@ -160,7 +166,7 @@
 	if s.Demand <= idleDemand || base.Rate <= 0 {
 		return Amount{}
 	}
-	part := min(1-keptStep, math.Floor(localPart*s.Demand/base.Rate/keptStep)*keptStep)
+	part := min(1-keptStep, math.Ceil(localPart*s.Demand/base.Rate/keptStep)*keptStep)
 	kept := base.Scale(part)
 	kept.Burst = min(kept.Burst, localBurst(kept.Rate))
 	if kept.Burst < 1 {
