Keep the order of what agents report, and bound writes to other processes

Cause 1: a connection's greeting and a broadcast could be made in one order and sent in the other; both now hold a mutex from making to sending. Cause 2: a lost connection and the first report on the next came through two channels, and the select could take the report first and then drop it with the loss; events now come through one channel in order. Ruled out: a lost notification (the connection stayed up).

A process that is paused no longer holds up the others: a write that takes more than 5 s closes the connection.

--- a/controller/upstreams/upstreams.go
+++ b/controller/upstreams/upstreams.go
@@ -29,8 +29,7 @@
 	topology  *blackboard.Topology
 	connector Connector
 	log       *log.Logger
-	links     chan peer.LinkEvent
-	statuses  chan statusEvent
+	events    chan func() bool       // in order; each returns whether upstreams changed
 	agents    map[string]*agentState // by address
 	loads     map[string]*blackboard.Load
 }
@@ -42,23 +41,17 @@
 	states    map[string]fleet.UpstreamState
 }
 
-type statusEvent struct {
-	address string
-	status  peer.Status
-}
-
 // New returns a Controller of the named gateway in the data centre.
 // SetConnector must be called before Run.
 func New(board *blackboard.Board, gateway, dataCentre string, logger *log.Logger) *Controller {
 	return &Controller{
-		board:    board,
-		gateway:  gateway,
-		home:     dataCentre,
-		log:      logger,
-		links:    make(chan peer.LinkEvent, eventBacklog),
-		statuses: make(chan statusEvent, eventBacklog),
-		agents:   make(map[string]*agentState),
-		loads:    make(map[string]*blackboard.Load),
+		board:   board,
+		gateway: gateway,
+		home:    dataCentre,
+		log:     logger,
+		events:  make(chan func() bool, eventBacklog),
+		agents:  make(map[string]*agentState),
+		loads:   make(map[string]*blackboard.Load),
 	}
 }
 
@@ -66,11 +59,13 @@
 func (c *Controller) SetConnector(connector Connector) { c.connector = connector }
 
 // Link takes in that a connection was made or lost.
-func (c *Controller) Link(e peer.LinkEvent) { c.links <- e }
+func (c *Controller) Link(e peer.LinkEvent) {
+	c.events <- func() bool { return c.takeLink(e) }
+}
 
 // Status takes in what the agent at the address reported.
 func (c *Controller) Status(address string, s peer.Status) {
-	c.statuses <- statusEvent{address, s}
+	c.events <- func() bool { return c.takeStatus(address, s) }
 }
 
 // Run keeps the board up to date until ctx ends.
@@ -94,10 +89,8 @@
 	for {
 		changed := false
 		select {
-		case e := <-c.links:
-			changed = c.takeLink(e)
-		case e := <-c.statuses:
-			changed = c.takeStatus(e)
+		case take := <-c.events:
+			changed = take()
 		case <-snap.Changed():
 			return true
 		case <-ctx.Done():
@@ -141,13 +134,13 @@
 }
 
 // takeStatus returns whether the upstreams of the agent changed.
-func (c *Controller) takeStatus(e statusEvent) bool {
-	a := c.agent(e.address)
-	changed := a.version != e.status.ConfigVersion
-	a.version = e.status.ConfigVersion
-	for _, r := range e.status.Reports {
+func (c *Controller) takeStatus(address string, status peer.Status) bool {
+	a := c.agent(address)
+	changed := a.version != status.ConfigVersion
+	a.version = status.ConfigVersion
+	for _, r := range status.Reports {
 		state := r.State
-		if e.status.Draining {
+		if status.Draining {
 			state = fleet.Leaving
 		}
 		if old := a.states[r.Upstream]; old != state {
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
@@ -32,6 +33,8 @@
 	controllers *group
 	peers       *peer.Server
 	metrics     *httpserve.Server
+
+	telling sync.Mutex // held while a status is made and sent
 }
 
 // StartAgent starts an agent.
@@ -104,6 +107,8 @@
 
 // greet tells a new connection the state of the upstreams.
 func (a *Agent) greet(s *peer.Session) {
+	a.telling.Lock()
+	defer a.telling.Unlock()
 	_ = s.Notify(context.Background(), peer.MethodStatus, a.status())
 }
 
@@ -112,7 +117,7 @@
 func (a *Agent) announce(ctx context.Context) {
 	for {
 		ups, phase, config := a.board.Upstreams.Load(), a.board.Phase.Load(), a.board.Config.Load()
-		a.peers.Broadcast(ctx, peer.MethodStatus, a.status())
+		a.tell(ctx)
 		select {
 		case <-ups.Changed():
 		case <-phase.Changed():
@@ -123,6 +128,14 @@
 	}
 }
 
+// tell tells every connection the state of the upstreams. Like greet, it holds
+// the mutex, so that no connection gets an older state after a newer one.
+func (a *Agent) tell(ctx context.Context) {
+	a.telling.Lock()
+	defer a.telling.Unlock()
+	a.peers.Broadcast(ctx, peer.MethodStatus, a.status())
+}
+
 func (a *Agent) status() peer.Status {
 	s := peer.Status{
 		VM:          a.vm,
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -28,7 +29,25 @@
 
 // newStream returns the messages of a connection.
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, new(codec))
+	return jsonrpc2.NewBufferedStream(boundedConn{conn}, new(codec))
+}
+
+// writeTimeout bounds how long a process that does not read holds up a writer.
+const writeTimeout = 5 * time.Second
+
+// boundedConn is a connection that is closed when a write takes too long.
+type boundedConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.Close()
+	}
+	return n, err
 }
 
 // WriteObject implements jsonrpc2.ObjectCodec.
