Let a chunk outlast its lease in the outage test

Without going on in an outage the test passed in the last trial: a chunk took 50 ms, so it ended before its lease. Items now take 160 ms, a chunk 800 ms, the lease 600 ms.

--- a/controller/dispatch/claims_test.go
+++ b/controller/dispatch/claims_test.go
@@ -71,8 +71,9 @@
 
 func TestOutageKeepsWhatIsHeldAndTakesNoMore(t *testing.T) {
 	b := newBench(t)
-	job := b.submit(prompts(10 * chunkItems)...)
-	w := b.worker("worker", 10*time.Millisecond)
+	const itemTime = 160 * time.Millisecond // a chunk takes longer than its lease
+	job := b.submit(prompts(5 * chunkItems)...)
+	w := b.worker("worker", itemTime)
 	b.eventually("items run", func() bool { return w.started.Load() > 0 })
 	b.platform.Set(standin.Faults{Outage: true})
 	time.Sleep(3 * testLease)
