--- a/devfleet/distance.go
+++ b/devfleet/distance.go
@@ -77,7 +77,7 @@
 	defer to.Close()
 	d.track(from)
 	d.track(to)
-	delay := d.delay(from.RemoteAddr(), dataCentre)
+	delay := d.delay(from, dataCentre)
 	done := make(chan struct{}, 2)
 	carry := func(dst, src net.Conn) {
 		pump(dst, src, delay)
@@ -88,10 +88,10 @@
 	<-done
 }
 
-// delay returns the delay between the process that owns the address and the
-// data centre.
-func (d *distance) delay(address net.Addr, dataCentre string) time.Duration {
-	pid, err := ownerOf(address, d.owners.Range)
+// delay returns the delay between the process at the other end of the
+// connection and the data centre.
+func (d *distance) delay(conn net.Conn, dataCentre string) time.Duration {
+	pid, err := ownerOf(conn, d.owners.Range)
 	if err != nil {
 		return d.oneWay
 	}
--- a/load/result.go
+++ b/load/result.go
@@ -45,7 +45,8 @@
 	Within int64 `json:"within"`
 	// WrongfullyRefused counts refusals within the rate.
 	WrongfullyRefused int64 `json:"wrongfully_refused"`
-	// AboveRate counts what was admitted above the rate.
+	// AboveRate is by how many requests a window of send times held more than
+	// the burst and what the rate earns, at worst, warm-up included.
 	AboveRate int64 `json:"above_rate"`
 	// AnsweredOfWithin is the share of the requests within the rate that were
 	// answered.
@@ -60,7 +61,7 @@
 	return Summary{
 		Name: name, Sent: s.Sent, Answered: s.Answered, Errors: s.Errors, Incomplete: s.Incomplete,
 		Refused: s.Refused, Within: s.Within, WrongfullyRefused: s.WrongfullyRefused(),
-		AboveRate: s.AboveRate(), AnsweredOfWithin: s.AnsweredOfWithin(),
+		AboveRate: s.AboveRate, AnsweredOfWithin: s.AnsweredOfWithin(),
 		FirstToken: quantiles(s.FirstToken), BetweenTokens: quantiles(s.BetweenTokens), Total: quantiles(s.Total),
 	}
 }
--- a/load/run.go
+++ b/load/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -149,6 +151,7 @@
 	for i := range stats {
 		stats[i] = NewStats()
 	}
+	r.countAboveRate(stats)
 	lag := newHistogram()
 	for i := range r.schedule {
 		if r.schedule[i].At < r.scenario.Warmup {
@@ -164,6 +167,40 @@
 	return res
 }
 
+// countAboveRate finds each workspace's worst window, by the times at which
+// requests were sent.
+func (r *runner) countAboveRate(stats []*Stats) {
+	sent := make([][]time.Time, len(stats))
+	for i := range r.schedule {
+		if r.results[i].kind != refused {
+			w := r.schedule[i].Workspace
+			sent[w] = append(sent[w], r.starts[i])
+		}
+	}
+	for w := range stats {
+		stats[w].AboveRate = aboveRate(&r.scenario.Workspaces[w], sent[w])
+	}
+}
+
+// sendJitter is the number of requests by which send times may exceed a limit
+// that admission times keep.
+const sendJitter = 1
+
+// aboveRate returns by how many requests a window of the times holds more than
+// the burst and what the rate earns, at worst.
+func aboveRate(w *Workspace, times []time.Time) int64 {
+	slices.SortFunc(times, time.Time.Compare)
+	var debt, worst float64
+	for i, t := range times {
+		if i > 0 {
+			debt = max(0, debt-w.Rate*t.Sub(times[i-1]).Seconds())
+		}
+		debt++
+		worst = max(worst, debt)
+	}
+	return max(0, int64(math.Ceil(worst))-int64(w.Burst)-sendJitter)
+}
+
 // add counts one request that was meant to be sent at the intended time.
 func (s *Stats) add(o *outcome, intended time.Time, within bool) {
 	s.Sent++
--- a/load/stats.go
+++ b/load/stats.go
@@ -26,6 +26,9 @@
 	Errors int64
 	// Incomplete counts the answers that broke off.
 	Incomplete int64
+	// AboveRate is by how many requests a window held more than the burst and
+	// what the rate earns, at worst.
+	AboveRate int64
 	// Within counts the requests within the workspace's rate.
 	Within int64
 	// FirstToken, Total and BetweenTokens are latencies in microseconds. The
@@ -69,12 +72,6 @@
 	return max(0, min(refused, s.Within-admitted))
 }
 
-// AboveRate counts by how many requests more were admitted than one limiter for
-// the whole fleet would have admitted.
-func (s *Stats) AboveRate() int64 {
-	return max(0, s.Sent-s.refusedAll()-s.Within)
-}
-
 // AnsweredOfWithin returns the fraction of the requests within the rate that
 // got a whole answer, at most 1.
 func (s *Stats) AnsweredOfWithin() float64 {
