Take only refusals for want of room as refusals

A caller that left while its request waited (caller_gone, not run) also marked the upstream as refusing for half a second. Now only full or slow queues, overload and upstreams that take no work do.

--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -214,8 +214,12 @@
 // noteRefusal keeps that the agent refused a request, whatever load it reported
 // before.
 func noteRefusal(up *blackboard.Upstream, e *result.Error) {
-	if e.Verdict != result.NotRun && e.Code != result.UpstreamOverloaded {
-		return
+	switch e.Code {
+	case result.QueueFull, result.QueueTimeout, result.UpstreamOverloaded:
+	default:
+		if !retry.IsRedirect(e) {
+			return
+		}
 	}
 	hold := min(cmp.Or(e.RetryAfter, route.RefusalHold), route.RefusalHold)
 	up.Load.RefusedUntil.Store(time.Now().Add(hold).UnixNano())
