--- a/prooftest/rate_test.go
+++ b/prooftest/rate_test.go
@@ -14,9 +14,9 @@
 	tightBurst = 20
 )
 
-// TestRateHoldsThroughFailures lets a workspace send several times its rate to
+// TestRateHoldsWhileGatewaysDie lets a workspace send several times its rate to
 // every gateway while gateways are killed and paused and the store fails.
-func TestRateHoldsThroughFailures(t *testing.T) {
+func TestRateHoldsWhileGatewaysDie(t *testing.T) {
 	t.Parallel()
 	f := startProcesses(t, devfleet.Options{
 		DataCentres: 2, Gateways: 3, Engines: 2, Services: 1,
