Let a server be closed after its planned stop

Cause: httpserve.Server.Close waited on a channel whose one value Shutdown had taken, so Kill after Stop never returned. The leak test hung there (600 s, ended by hand). The end of Serve is now a closed channel that both may wait on.

The leak test again lets the cleanup kill daemons that were stopped: go test ./daemon: hung before, ok 1.2 s after. Under the race detector: go test -race -short ./history ./daemon ./prooftest: ok.

--- a/daemon/leak_test.go
+++ b/daemon/leak_test.go
@@ -31,11 +31,9 @@
 		if err := f.Gateways[gatewayName].Stop(ctx); err != nil {
 			t.Error(err)
 		}
-		delete(f.Gateways, gatewayName)
 		if err := f.Agents[vm].Stop(ctx); err != nil {
 			t.Error(err)
 		}
-		delete(f.Agents, vm)
 	})
 	http.DefaultClient.CloseIdleConnections()
 	// go-zero starts these once for each process and never stops them.
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -46,7 +46,8 @@
 	http     http.Server
 	listener net.Listener
 	leaving  atomic.Bool
-	done     chan error
+	done     chan struct{} // closed when Serve has ended
+	err      error         // of Serve; read after done
 }
 
 // Listen starts to serve the routes at the address and returns the server.
@@ -66,13 +67,18 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 		listener: listener,
-		done:     make(chan error, 1),
+		done:     make(chan struct{}),
 	}
 	s.http.Handler = s.closing(handler)
-	go func() { s.done <- s.http.Serve(listener) }()
+	go s.serve()
 	return s, nil
 }
 
+func (s *Server) serve() {
+	defer close(s.done)
+	s.err = s.http.Serve(s.listener)
+}
+
 func newHandler(routes []rest.Route, opts Options) (http.Handler, error) {
 	conf := rest.RestConf{}
 	conf.Middlewares.Recover = true
@@ -120,8 +126,9 @@
 	if err != nil {
 		s.http.Close()
 	}
-	if serveErr := <-s.done; !errors.Is(serveErr, http.ErrServerClosed) {
-		err = errors.Join(err, serveErr)
+	<-s.done
+	if !errors.Is(s.err, http.ErrServerClosed) {
+		err = errors.Join(err, s.err)
 	}
 	return err
 }
