--- a/batch/accept.go
+++ b/batch/accept.go
@@ -14,6 +14,7 @@
 	"github.com/baobablanding/baobablanding/platform"
 	policy "github.com/baobablanding/baobablanding/policy/batch"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // ResendWindow is how long after a submission without an idempotency key the
@@ -216,25 +217,13 @@
 		if result.CodeOf(err) == result.UnknownJob {
 			return Job{}, storeError(cause)
 		}
-		if !pause(ctx, readBackDelay) {
+		if !timer.Sleep(ctx, readBackDelay) {
 			break
 		}
 	}
 	return Job{}, storeError(cause)
 }
 
-// pause waits for d, or returns false when ctx ends.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 const cleanupTimeout = 30 * time.Second
 
 // deleteInputs removes the chunks of a job that was not accepted. What it does
--- a/batch/claim.go
+++ b/batch/claim.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobablanding/baobablanding/platform"
 	policy "github.com/baobablanding/baobablanding/policy/batch"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 const (
@@ -142,7 +143,7 @@
 		if err != nil || c != nil {
 			return c, err
 		}
-		pause(ctx, rand.N(claimBackoff<<try))
+		timer.Sleep(ctx, rand.N(claimBackoff<<try))
 	}
 	if len(records) > 0 {
 		return nil, errContended
@@ -280,7 +281,7 @@
 			c.version = version
 			return c, nil
 		}
-		if !pause(ctx, readBackDelay) {
+		if !timer.Sleep(ctx, readBackDelay) {
 			break
 		}
 	}
--- a/batch/files.go
+++ b/batch/files.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // PutFile stores a file as it arrives and then its record.
@@ -40,7 +41,7 @@
 		if err == nil {
 			return nil
 		}
-		if result.CodeOf(err) == result.UnknownFile || !pause(ctx, readBackDelay) {
+		if result.CodeOf(err) == result.UnknownFile || !timer.Sleep(ctx, readBackDelay) {
 			break
 		}
 	}
--- a/batch/jobs.go
+++ b/batch/jobs.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 const scanLimit = 1000
@@ -211,7 +212,7 @@
 		if err == nil && job.State != Active {
 			return job, nil
 		}
-		if err == nil || !pause(ctx, readBackDelay) {
+		if err == nil || !timer.Sleep(ctx, readBackDelay) {
 			break
 		}
 	}
--- a/batch/split.go
+++ b/batch/split.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 const (
@@ -156,7 +157,7 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, context.Canceled) || !pause(ctx, readBackDelay) {
+		if errors.Is(err, context.Canceled) || !timer.Sleep(ctx, readBackDelay) {
 			break
 		}
 	}
--- a/controller/dispatch/search.go
+++ b/controller/dispatch/search.go
@@ -124,9 +124,9 @@
 	return n
 }
 
-// pollWork looks for new chunks of the model and returns when to look again.
-func (c *Controller) pollWork(model string, l *look, now time.Time) time.Time {
-	p := &l.work
+// read starts a poll if it is due, and returns when to look again. The function
+// ask runs on another goroutine; what it returns runs on the controller's.
+func (c *Controller) read(p *poll, now time.Time, ask func(context.Context, *batch.Signal) (found func(), err error)) time.Time {
 	if p.running {
 		return now.Add(c.Lease)
 	}
@@ -139,20 +139,32 @@
 	c.async(func() func() {
 		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
 		defer cancel()
-		changed, err := c.Store.WorkChanged(ctx, model, &signal)
+		found, err := ask(ctx, &signal)
 		return func() {
 			p.running = false
-			p.signal = signal
 			c.noteStore(err)
-			if err == nil && changed {
-				l.empty = false
-				l.next = time.Time{}
+			if err == nil {
+				p.signal = signal
+				found()
 			}
 		}
 	})
 	return p.next
 }
 
+// pollWork looks for new chunks of the model and returns when to look again.
+func (c *Controller) pollWork(model string, l *look, now time.Time) time.Time {
+	return c.read(&l.work, now, func(ctx context.Context, signal *batch.Signal) (func(), error) {
+		changed, err := c.Store.WorkChanged(ctx, model, signal)
+		return func() {
+			if changed {
+				l.empty = false
+				l.next = time.Time{}
+			}
+		}, err
+	})
+}
+
 // claimed is the outcome of a claim.
 type claimed struct {
 	claim *batch.Claim
@@ -213,33 +225,13 @@
 // pollCancelled looks for cancelled jobs while chunks are held, and returns
 // when to look again.
 func (c *Controller) pollCancelled(now time.Time) time.Time {
-	p := &c.cancels
 	if len(c.held) == 0 {
 		return now.Add(c.Lease)
 	}
-	if p.running {
-		return now.Add(c.Lease)
-	}
-	if now.Before(p.next) {
-		return p.next
-	}
-	p.running = true
-	p.next = now.Add(c.pollInterval())
-	signal := p.signal
-	c.async(func() func() {
-		ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
-		defer cancel()
-		jobs, err := c.Store.Cancelled(ctx, &signal)
-		return func() {
-			p.running = false
-			c.noteStore(err)
-			if err == nil {
-				p.signal = signal
-				c.cancelJobs(jobs)
-			}
-		}
+	return c.read(&c.cancels, now, func(ctx context.Context, signal *batch.Signal) (func(), error) {
+		jobs, err := c.Store.Cancelled(ctx, signal)
+		return func() { c.cancelJobs(jobs) }, err
 	})
-	return p.next
 }
 
 func (c *Controller) cancelJobs(jobs []string) {
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -21,6 +21,7 @@
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // Agent is a running agent process.
@@ -158,7 +159,7 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
-	pause(ctx, answerTime)
+	timer.Sleep(ctx, answerTime)
 	a.Kill()
 	return err
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,16 +105,6 @@
 	answerTime = 100 * time.Millisecond
 )
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // group runs controllers until it is stopped.
 type group struct {
 	ctx    context.Context
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/serve"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // Gateway is a running gateway process.
@@ -154,7 +155,7 @@
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.board.Phase.Publish(blackboard.Leaving)
 	g.http.Leave()
-	pause(ctx, leaveTime)
+	timer.Sleep(ctx, leaveTime)
 	g.board.Phase.Publish(blackboard.Draining)
 	err := g.http.Shutdown(ctx)
 	g.release()
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"crypto/sha256"
-	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/zeromicro/go-zero/rest"
 
@@ -71,33 +67,6 @@
 	Out []string `json:"out"`
 }
 
-// KeyRequest issues or withdraws a key.
-type KeyRequest struct {
-	Edit
-	// Workspace is the owner of a new key.
-	Workspace string `json:"workspace,omitempty"`
-	// ID names the key to withdraw.
-	ID string `json:"id,omitempty"`
-}
-
-// KeyResponse describes a new key. The key itself is shown only here.
-type KeyResponse struct {
-	// ID names the key in later commands.
-	ID string `json:"id"`
-	// Key is the key that callers present.
-	Key string `json:"key"`
-	// Version is the version of the configuration that holds the key.
-	Version uint64 `json:"version"`
-}
-
-// KeyInfo describes an issued key.
-type KeyInfo struct {
-	ID        string    `json:"id"`
-	Workspace string    `json:"workspace"`
-	Issued    time.Time `json:"issued"`
-	Withdrawn time.Time `json:"withdrawn,omitzero"`
-}
-
 // DataCentreRequest takes a data centre out or returns it.
 type DataCentreRequest struct {
 	Edit
@@ -107,38 +76,6 @@
 	Out bool `json:"out"`
 }
 
-// StatusResponse describes the gateway.
-type StatusResponse struct {
-	Name          string `json:"name"`
-	DataCentre    string `json:"data_centre"`
-	Phase         string `json:"phase"`
-	ConfigVersion uint64 `json:"config_version"`
-}
-
-// UpstreamInfo describes an upstream as the gateway knows it.
-type UpstreamInfo struct {
-	Name       string   `json:"name"`
-	Kind       string   `json:"kind"`
-	DataCentre string   `json:"data_centre"`
-	State      string   `json:"state"`
-	Connected  bool     `json:"connected"`
-	Out        bool     `json:"out"`
-	InFlight   int64    `json:"in_flight"`
-	Models     []string `json:"models,omitempty"`
-}
-
-// JobInfo describes a batch job.
-type JobInfo struct {
-	ID        string    `json:"id"`
-	Workspace string    `json:"workspace"`
-	State     string    `json:"state"`
-	Items     int       `json:"items"`
-	Completed int       `json:"completed"`
-	Failed    int       `json:"failed"`
-	Created   time.Time `json:"created"`
-	Due       time.Time `json:"due"`
-}
-
 // adminBodyLimit is the largest body of an operator's request in bytes.
 const adminBodyLimit = 32 << 20
 
@@ -225,94 +162,6 @@
 	return nil
 }
 
-func (g *Gateway) listKeys(w http.ResponseWriter, _ *http.Request, _ string) error {
-	view := g.view()
-	if view == nil {
-		return result.New(result.ConfigMissing, result.NotRun)
-	}
-	list := make([]KeyInfo, 0, len(view.Keys))
-	for _, k := range view.Keys {
-		list = append(list, KeyInfo{ID: k.ID, Workspace: k.Workspace, Issued: k.Issued, Withdrawn: k.Withdrawn})
-	}
-	slices.SortFunc(list, func(a, b KeyInfo) int { return a.Issued.Compare(b.Issued) })
-	writeJSON(w, http.StatusOK, list)
-	return nil
-}
-
-const (
-	keyBytes  = 32
-	keyPrefix = "bl-"
-	keyIDLen  = 8
-)
-
-// newKey returns a random key and its entry for the workspace.
-func newKey(workspace string) (string, fleet.Key, error) {
-	random := make([]byte, keyBytes)
-	if _, err := rand.Read(random); err != nil {
-		return "", fleet.Key{}, err
-	}
-	text := keyPrefix + base64.RawURLEncoding.EncodeToString(random)
-	digest := sha256.Sum256([]byte(text))
-	id := base64.RawURLEncoding.EncodeToString(digest[:])[:keyIDLen]
-	return text, fleet.Key{ID: "key-" + id, Digest: digest, Workspace: workspace, Issued: time.Now().UTC()}, nil
-}
-
-func (g *Gateway) issueKey(w http.ResponseWriter, r *http.Request, _ string) error {
-	req, err := decodeAdmin[KeyRequest](g, w, r)
-	if err != nil {
-		return err
-	}
-	text, key, err := newKey(req.Workspace)
-	if err != nil {
-		return err
-	}
-	head, err := g.accept(r.Context(), configstore.Change{
-		Operation: req.Operation,
-		Author:    req.Author,
-		Summary:   "issue " + key.ID,
-		Edit:      func(s fleet.State) (fleet.State, error) { return addKey(s, key) },
-	})
-	if err != nil {
-		return err
-	}
-	writeJSON(w, http.StatusOK, KeyResponse{ID: key.ID, Key: text, Version: head.Version})
-	return nil
-}
-
-func addKey(s fleet.State, key fleet.Key) (fleet.State, error) {
-	known := func(w fleet.Workspace) bool { return w.Name == key.Workspace }
-	if !slices.ContainsFunc(s.Inventory.Workspaces, known) {
-		return s, result.Errorf(result.UnknownName, "workspace %q does not exist", key.Workspace)
-	}
-	s.Keys = append(slices.Clip(s.Keys), key)
-	return s, nil
-}
-
-func (g *Gateway) withdrawKey(w http.ResponseWriter, r *http.Request, _ string) error {
-	req, err := decodeAdmin[KeyRequest](g, w, r)
-	if err != nil {
-		return err
-	}
-	return g.change(w, r, configstore.Change{
-		Operation: req.Operation,
-		Author:    req.Author,
-		Summary:   "withdraw " + req.ID,
-		Edit:      func(s fleet.State) (fleet.State, error) { return withdraw(s, req.ID, time.Now().UTC()) },
-	})
-}
-
-func withdraw(s fleet.State, id string, at time.Time) (fleet.State, error) {
-	i := slices.IndexFunc(s.Keys, func(k fleet.Key) bool { return k.ID == id })
-	if i < 0 {
-		return s, result.Errorf(result.UnknownName, "key %q does not exist", id)
-	}
-	s.Keys = slices.Clone(s.Keys)
-	if s.Keys[i].Withdrawn.IsZero() {
-		s.Keys[i].Withdrawn = at
-	}
-	return s, nil
-}
-
 func (g *Gateway) setDataCentre(w http.ResponseWriter, r *http.Request, _ string) error {
 	req, err := decodeAdmin[DataCentreRequest](g, w, r)
 	if err != nil {
@@ -341,66 +190,3 @@
 	}
 	return s, nil
 }
-
-func (g *Gateway) showStatus(w http.ResponseWriter, _ *http.Request, _ string) error {
-	status := StatusResponse{
-		Name:       g.settings.Name,
-		DataCentre: g.settings.DataCentre,
-		Phase:      g.board.Phase.Value().String(),
-	}
-	if view := g.view(); view != nil {
-		status.ConfigVersion = view.Version
-	}
-	writeJSON(w, http.StatusOK, status)
-	return nil
-}
-
-func (g *Gateway) showUpstreams(w http.ResponseWriter, _ *http.Request, _ string) error {
-	list := []UpstreamInfo{}
-	for _, u := range g.board.Upstreams.Value().All {
-		list = append(list, UpstreamInfo{
-			Name:       u.Spec.Name,
-			Kind:       string(u.Spec.Kind),
-			DataCentre: u.DataCentre,
-			State:      u.State.String(),
-			Connected:  u.Connected,
-			Out:        u.Out,
-			InFlight:   u.Load.InFlight.Load(),
-			Models:     u.Spec.Models,
-		})
-	}
-	writeJSON(w, http.StatusOK, list)
-	return nil
-}
-
-func (g *Gateway) showWorkspaces(w http.ResponseWriter, _ *http.Request, _ string) error {
-	view := g.view()
-	if view == nil {
-		return result.New(result.ConfigMissing, result.NotRun)
-	}
-	writeJSON(w, http.StatusOK, view.Inventory.Workspaces)
-	return nil
-}
-
-// maxAdminJobs is the number of jobs in one answer to an operator.
-const maxAdminJobs = 1000
-
-func (g *Gateway) showJobs(w http.ResponseWriter, r *http.Request, _ string) error {
-	jobs, _, err := g.jobs.Jobs(r.Context(), "", r.URL.Query().Get("after"), maxAdminJobs)
-	if err != nil {
-		return err
-	}
-	list := make([]JobInfo, 0, len(jobs))
-	for _, j := range jobs {
-		p, err := g.jobs.Progress(r.Context(), &j)
-		if err != nil {
-			return err
-		}
-		list = append(list, JobInfo{
-			ID: j.ID, Workspace: j.Workspace, State: string(j.State), Items: j.Items,
-			Completed: p.Completed, Failed: p.Failed, Created: j.Created, Due: j.Due,
-		})
-	}
-	writeJSON(w, http.StatusOK, list)
-	return nil
-}
--- a/load/page.go
+++ b/load/page.go
@@ -5,35 +5,21 @@
 	"io"
 
 	"github.com/go-echarts/go-echarts/v2/charts"
-	"github.com/go-echarts/go-echarts/v2/components"
 	"github.com/go-echarts/go-echarts/v2/opts"
+
+	"github.com/baobablanding/baobablanding/plot"
 )
 
 // WritePage writes the results as an HTML page with plots.
 func WritePage(w io.Writer, results []*Result) error {
-	page := components.NewPage()
-	page.PageTitle = "baobab-load"
+	var bars []*charts.Bar
 	for _, r := range results {
-		page.AddCharts(latencyChart(r), countChart(r))
+		bars = append(bars, latencyChart(r), countChart(r))
 	}
 	if len(results) > 1 {
-		page.AddCharts(comparisonChart(results))
-	}
-	if err := page.Render(w); err != nil {
-		return fmt.Errorf("write page: %w", err)
+		bars = append(bars, comparisonChart(results))
 	}
-	return nil
-}
-
-func newBar(title, subtitle, unit string, names []string) *charts.Bar {
-	bar := charts.NewBar()
-	bar.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{Title: title, Subtitle: subtitle}),
-		charts.WithYAxisOpts(opts.YAxis{Name: unit}),
-		charts.WithLegendOpts(opts.Legend{Top: "bottom"}),
-	)
-	bar.SetXAxis(names)
-	return bar
+	return plot.WritePage(w, "baobab-load", bars)
 }
 
 // addSeries adds a value of each summary.
@@ -65,7 +51,7 @@
 
 func latencyChart(r *Result) *charts.Bar {
 	list := withOverall(r)
-	bar := newBar(r.Scenario.Name+": time to first token", subtitle(r), "ms", namesOf(list))
+	bar := plot.NewBar(r.Scenario.Name+": time to first token", subtitle(r), "ms", namesOf(list))
 	addSeries(bar, "p50", list, func(s *Summary) float64 { return s.FirstToken.P50 })
 	addSeries(bar, "p95", list, func(s *Summary) float64 { return s.FirstToken.P95 })
 	addSeries(bar, "p99", list, func(s *Summary) float64 { return s.FirstToken.P99 })
@@ -75,7 +61,7 @@
 
 func countChart(r *Result) *charts.Bar {
 	list := r.Workspaces
-	bar := newBar(r.Scenario.Name+": requests", subtitle(r), "requests", namesOf(list))
+	bar := plot.NewBar(r.Scenario.Name+": requests", subtitle(r), "requests", namesOf(list))
 	addSeries(bar, "sent", list, func(s *Summary) float64 { return float64(s.Sent) })
 	addSeries(bar, "within rate", list, func(s *Summary) float64 { return float64(s.Within) })
 	addSeries(bar, "answered", list, func(s *Summary) float64 { return float64(s.Answered) })
@@ -91,7 +77,7 @@
 		list = append(list, r.Overall)
 		names = append(names, r.Scenario.Name)
 	}
-	bar := newBar("All runs: first token", "", "ms", names)
+	bar := plot.NewBar("All runs: first token", "", "ms", names)
 	addSeries(bar, "p50", list, func(s *Summary) float64 { return s.FirstToken.P50 })
 	addSeries(bar, "p99", list, func(s *Summary) float64 { return s.FirstToken.P99 })
 	return bar
--- a/load/run.go
+++ b/load/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/baobablanding/baobablanding/httpserve"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // requestTimeout bounds one request of a caller.
@@ -135,14 +136,7 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Sleep(ctx, d)
 }
 
 // result counts the requests of the counted part.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -15,6 +15,7 @@
 
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 const (
@@ -131,25 +132,13 @@
 			delay = minRedial
 			p.serve(ctx, l, conn)
 		}
-		if !sleep(ctx, delay) {
+		if !timer.Sleep(ctx, delay) {
 			return
 		}
 		delay = min(2*delay, maxRedial)
 	}
 }
 
-// sleep waits for d and returns whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // serve uses the connection until it is lost.
 func (p *Pool) serve(ctx context.Context, l *link, conn net.Conn) {
 	session := &Session{Remote: l.address}
--- /dev/null
+++ b/plot/plot.go
@@ -0,0 +1,37 @@
+// Package plot writes HTML pages of bar charts.
+package plot
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-echarts/go-echarts/v2/charts"
+	"github.com/go-echarts/go-echarts/v2/components"
+	"github.com/go-echarts/go-echarts/v2/opts"
+)
+
+// NewBar returns a chart without series. The names label its groups of bars and
+// the unit its vertical axis.
+func NewBar(title, subtitle, unit string, names []string) *charts.Bar {
+	bar := charts.NewBar()
+	bar.SetGlobalOptions(
+		charts.WithTitleOpts(opts.Title{Title: title, Subtitle: subtitle}),
+		charts.WithYAxisOpts(opts.YAxis{Name: unit}),
+		charts.WithLegendOpts(opts.Legend{Top: "bottom"}),
+	)
+	bar.SetXAxis(names)
+	return bar
+}
+
+// WritePage writes a page with the charts.
+func WritePage(w io.Writer, title string, bars []*charts.Bar) error {
+	page := components.NewPage()
+	page.PageTitle = title
+	for _, bar := range bars {
+		page.AddCharts(bar)
+	}
+	if err := page.Render(w); err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	return nil
+}
--- a/report/page.go
+++ b/report/page.go
@@ -6,33 +6,19 @@
 	"math"
 
 	"github.com/go-echarts/go-echarts/v2/charts"
-	"github.com/go-echarts/go-echarts/v2/components"
 	"github.com/go-echarts/go-echarts/v2/opts"
+
+	"github.com/baobablanding/baobablanding/plot"
 )
 
 // WritePage writes the report as an HTML page with plots.
 func WritePage(w io.Writer, r *Report) error {
-	page := components.NewPage()
-	page.PageTitle = "Service-level burn"
-	page.AddCharts(overview(r))
+	var bars []*charts.Bar
+	bars = append(bars, overview(r))
 	for i := range r.Objectives {
-		page.AddCharts(windows(&r.Objectives[i]))
-	}
-	if err := page.Render(w); err != nil {
-		return fmt.Errorf("write page: %w", err)
+		bars = append(bars, windows(&r.Objectives[i]))
 	}
-	return nil
-}
-
-func newBar(title, subtitle, unit string, names []string) *charts.Bar {
-	bar := charts.NewBar()
-	bar.SetGlobalOptions(
-		charts.WithTitleOpts(opts.Title{Title: title, Subtitle: subtitle}),
-		charts.WithYAxisOpts(opts.YAxis{Name: unit}),
-		charts.WithLegendOpts(opts.Legend{Top: "bottom"}),
-	)
-	bar.SetXAxis(names)
-	return bar
+	return plot.WritePage(w, "Service-level burn", bars)
 }
 
 // overview plots the burn of every objective over each pair's long window.
@@ -41,7 +27,7 @@
 	for i := range r.Objectives {
 		names = append(names, r.Objectives[i].Name)
 	}
-	bar := newBar("Service-level burn", heading(r), "burn rate", names)
+	bar := plot.NewBar("Service-level burn", heading(r), "burn rate", names)
 	if len(r.Objectives) == 0 {
 		return bar
 	}
@@ -64,7 +50,7 @@
 		data = append(data, opts.BarData{Value: rounded(w.Burn)})
 	}
 	subtitle := fmt.Sprintf("%s; %s; target %s; alert: %s", scope(o), kind(o), percent(o.Target), alert(o))
-	bar := newBar(o.Name, subtitle, "burn rate", names)
+	bar := plot.NewBar(o.Name, subtitle, "burn rate", names)
 	bar.AddSeries("burn rate", data)
 	return bar
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // FaultsPath is where a stand-in's failures are switched.
@@ -99,16 +101,7 @@
 }
 
 // wait waits for d and returns whether the caller is still there.
-func wait(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
+func wait(r *http.Request, d time.Duration) bool { return timer.Sleep(r.Context(), d) }
 
 // dropAnswer closes the connection without an answer.
 func dropAnswer(w http.ResponseWriter) {
