--- a/ctl/main_test.go
+++ b/ctl/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobablanding/baobablanding/batch"
 	"github.com/baobablanding/baobablanding/config"
 	"github.com/baobablanding/baobablanding/ctl"
 	"github.com/baobablanding/baobablanding/fleettest"
@@ -92,6 +94,32 @@
 	expect(t, f, ctl.ExitUsage, "no-such-file", "check", "no-such-file")
 }
 
+func TestJobIsWatchedUntilItHasEnded(t *testing.T) {
+	t.Setenv("BAOBAB_ADMIN_KEY", fleettest.AdminKey)
+	f := fleettest.Start(t, fleettest.Options{})
+	store := batch.NewStore(f.Platform.Table(time.Second), f.Platform.Objects(time.Second))
+	const items = 3
+	var lines strings.Builder
+	for i := range items {
+		fmt.Fprintf(&lines, `{"custom_id":"item-%d","method":"POST","url":"/v1/completions","body":{"model":%q,"prompt":"stop","max_tokens":2}}`+"\n", i, fleettest.Model)
+	}
+	file, err := store.PutFile(context.Background(), "garrafon", "stops.jsonl", strings.NewReader(lines.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	job, err := store.Accept(context.Background(), batch.Submission{
+		Workspace: &f.Inventory.Workspaces[0], Endpoint: "/v1/completions", InputFile: file.ID, Due: time.Now().Add(time.Hour),
+	}, f.Inventory.Rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := expect(t, f, ctl.ExitOK, string(batch.Completed), "jobs", "--watch", job.ID)
+	if !strings.Contains(out, "EXPECTED-END") {
+		t.Errorf("progress: %s", out)
+	}
+	expect(t, f, ctl.ExitFailed, "unknown_job (4002)", "jobs", "--watch", "batch_none")
+}
+
 func TestErrors(t *testing.T) {
 	f := fleettest.Start(t, fleettest.Options{})
 	t.Setenv("BAOBAB_ADMIN_KEY", "wrong")
--- a/ctl/show.go
+++ b/ctl/show.go
@@ -120,15 +120,6 @@
 	})
 }
 
-type jobsArgs struct{}
-
-func (*jobsArgs) run(ctx context.Context, s *session) error {
-	return list(ctx, s, "/admin/jobs", "ID WORKSPACE STATE ITEMS DONE FAILED LEFT CREATED DUE", func(j gateway.JobInfo) []any {
-		left := j.Items - j.Completed - j.Failed
-		return []any{j.ID, j.Workspace, j.State, j.Items, j.Completed, j.Failed, left, moment(j.Created), moment(j.Due)}
-	})
-}
-
 type statusArgs struct{}
 
 func (*statusArgs) run(ctx context.Context, s *session) error {
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -31,6 +31,7 @@
 		{Method: http.MethodGet, Path: "/admin/workspaces", Handler: g.withOperator(g.showWorkspaces)},
 		{Method: http.MethodGet, Path: BurnPath, Handler: g.withOperator(g.showBurn)},
 		{Method: http.MethodGet, Path: "/admin/jobs", Handler: g.withOperator(g.showJobs)},
+		{Method: http.MethodGet, Path: "/admin/jobs/:id", Handler: g.withOperator(g.showJob)},
 	}
 }
 
--- a/gateway/show.go
+++ b/gateway/show.go
@@ -4,6 +4,10 @@
 	"net/http"
 	"time"
 
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/baobablanding/baobablanding/batch"
+	policy "github.com/baobablanding/baobablanding/policy/batch"
 	"github.com/baobablanding/baobablanding/result"
 )
 
@@ -29,14 +33,13 @@
 
 // JobInfo describes a batch job.
 type JobInfo struct {
-	ID        string    `json:"id"`
-	Workspace string    `json:"workspace"`
-	State     string    `json:"state"`
-	Items     int       `json:"items"`
-	Completed int       `json:"completed"`
-	Failed    int       `json:"failed"`
-	Created   time.Time `json:"created"`
-	Due       time.Time `json:"due"`
+	ID        string        `json:"id"`
+	Workspace string        `json:"workspace"`
+	State     string        `json:"state"`
+	Items     int           `json:"items"`
+	Progress  policy.Report `json:"progress"`
+	Created   time.Time     `json:"created"`
+	Due       time.Time     `json:"due"`
 }
 
 func (g *Gateway) showStatus(w http.ResponseWriter, _ *http.Request, _ string) error {
@@ -88,16 +91,36 @@
 		return err
 	}
 	list := make([]JobInfo, 0, len(jobs))
-	for _, j := range jobs {
-		p, err := g.jobs.Progress(r.Context(), &j)
+	for i := range jobs {
+		p, err := g.jobs.Progress(r.Context(), &jobs[i])
 		if err != nil {
 			return err
 		}
-		list = append(list, JobInfo{
-			ID: j.ID, Workspace: j.Workspace, State: string(j.State), Items: j.Items,
-			Completed: p.Completed, Failed: p.Failed, Created: j.Created, Due: j.Due,
-		})
+		list = append(list, newJobInfo(&jobs[i], p, time.Now()))
 	}
 	writeJSON(w, http.StatusOK, list)
 	return nil
 }
+
+func (g *Gateway) showJob(w http.ResponseWriter, r *http.Request, _ string) error {
+	job, err := g.jobs.Job(r.Context(), "", pathvar.Vars(r)["id"])
+	if err != nil {
+		return err
+	}
+	job, p, err := g.jobs.Refresh(r.Context(), job)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, newJobInfo(&job, p, time.Now()))
+	return nil
+}
+
+func newJobInfo(j *batch.Job, p batch.Progress, now time.Time) JobInfo {
+	if !j.Ended.IsZero() {
+		now = j.Ended
+	}
+	return JobInfo{
+		ID: j.ID, Workspace: j.Workspace, State: string(j.State), Items: j.Items,
+		Progress: j.Report(p, now), Created: j.Created, Due: j.Due,
+	}
+}
