--- a/load/load_test.go
+++ b/load/load_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/baobablanding/baobablanding/history/seed"
 )
 
 func TestScheduleDependsOnTheSeedAlone(t *testing.T) {
--- a/policy/admit/limiter_test.go
+++ b/policy/admit/limiter_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/baobablanding/baobablanding/history/seed"
 	"github.com/baobablanding/baobablanding/policy/share"
 )
 
--- a/policy/queue/fair_test.go
+++ b/policy/queue/fair_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/baobablanding/baobablanding/history/seed"
 )
 
 func TestFairServesByWeightWhileAllFlowsWait(t *testing.T) {
--- a/policy/ramp/ramp_test.go
+++ b/policy/ramp/ramp_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobablanding/baobablanding/fleet"
+	_ "github.com/baobablanding/baobablanding/history/seed"
 )
 
 func TestLimit(t *testing.T) {
--- a/policy/route/route_test.go
+++ b/policy/route/route_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/fleet"
+	_ "github.com/baobablanding/baobablanding/history/seed"
 )
 
 // newModel returns what one gateway of a fleet of the size knows.
