Wait for a token that is about to come instead of refusing

Cause: a gateway that has just started has empty buckets until the first tokens come (10 ms at its share of 100 requests a second), and a request that came in between was refused although its workspace was within its rate. Ruled out: starting with full buckets (two processes of a gateway would add up to more than the burst); waiting in the demo only, since callers see the same.

A request now waits at most 20 ms for a token that comes within that time, and takes it like any other, so no window can exceed the rate.

--- a/serve/admit.go
+++ b/serve/admit.go
@@ -7,6 +7,7 @@
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // admit checks the request against the configuration and the workspace's rate.
@@ -103,12 +104,30 @@
 	}
 	admitted, ok, longer := limiter.Ask(ctx)
 	if !ok {
-		return result.New(result.RateExceeded, result.NotRun).After(max(wait, longer))
+		return takeSoon(ctx, c, limiter, max(wait, longer))
 	}
 	c.admitted = admitted
 	return nil
 }
 
+// maxTokenWait is how long a request waits for a token that is about to come,
+// rather than being refused.
+const maxTokenWait = 20 * time.Millisecond
+
+// takeSoon admits the call after the wait if that is short, for example when a
+// gateway has just started and its buckets are still empty.
+func takeSoon(ctx context.Context, c *call, limiter blackboard.Limiter, wait time.Duration) error {
+	if wait <= maxTokenWait && timer.Sleep(ctx, wait) {
+		c.admitted = time.Now()
+		ok, longer := limiter.Take(c.admitted)
+		if ok {
+			return nil
+		}
+		wait = longer
+	}
+	return result.New(result.RateExceeded, result.NotRun).After(wait)
+}
+
 // confirm admits the call again if the process was paused after its admission:
 // the share that admitted it may since have gone to another gateway.
 func (s *Server) confirm(ctx context.Context, c *call) error {
