--- a/fleet/state.go
+++ b/fleet/state.go
@@ -46,7 +46,6 @@
 	models     map[string]*Model
 	vms        map[string]*VM
 	upstreams  map[string]*Upstream
-	byModel    map[string][]*Upstream
 	routes     []*Route // longest prefix first
 	out        map[string]bool
 }
@@ -60,7 +59,6 @@
 		models:     make(map[string]*Model, len(s.Inventory.Models)),
 		vms:        make(map[string]*VM, len(s.Inventory.VMs)),
 		upstreams:  make(map[string]*Upstream, len(s.Inventory.Upstreams)),
-		byModel:    make(map[string][]*Upstream),
 		out:        make(map[string]bool, len(s.Out)),
 	}
 	inv := &v.Inventory
@@ -77,7 +75,7 @@
 		v.vms[inv.VMs[i].Name] = &inv.VMs[i]
 	}
 	for i := range inv.Upstreams {
-		v.addUpstream(&inv.Upstreams[i])
+		v.upstreams[inv.Upstreams[i].Name] = &inv.Upstreams[i]
 	}
 	for i := range inv.Routes {
 		v.routes = append(v.routes, &inv.Routes[i])
@@ -89,16 +87,6 @@
 	return v
 }
 
-func (v *View) addUpstream(u *Upstream) {
-	v.upstreams[u.Name] = u
-	if u.Kind != Engine {
-		return
-	}
-	for _, m := range u.Models {
-		v.byModel[m] = append(v.byModel[m], u)
-	}
-}
-
 // Workspace returns the named workspace, or nil.
 func (v *View) Workspace(name string) *Workspace { return v.workspaces[name] }
 
@@ -114,9 +102,6 @@
 // Upstream returns the named upstream, or nil.
 func (v *View) Upstream(name string) *Upstream { return v.upstreams[name] }
 
-// Engines returns the engines that serve the model. The slice is shared.
-func (v *View) Engines(model string) []*Upstream { return v.byModel[model] }
-
 // Route returns the route with the longest prefix that matches path, or nil.
 func (v *View) Route(path string) *Route {
 	for _, r := range v.routes {
