--- /dev/null
+++ b/blackboard/engines.go
@@ -0,0 +1,127 @@
+package blackboard
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+)
+
+// Engines is the set of registered engines.
+type Engines struct {
+	// All lists the engines in the order of their ids.
+	All []*Engine
+
+	byService map[string][]*Engine
+	byID      map[string]*Engine
+}
+
+// NewEngines returns the set of the given engines.
+func NewEngines(all []*Engine) *Engines {
+	e := &Engines{All: all, byService: make(map[string][]*Engine), byID: make(map[string]*Engine, len(all))}
+	for _, engine := range all {
+		e.byService[engine.Service] = append(e.byService[engine.Service], engine)
+		e.byID[engine.ID] = engine
+	}
+	return e
+}
+
+// OfService returns the engines of the service.
+func (e *Engines) OfService(service string) []*Engine { return e.byService[service] }
+
+// ByID returns the engine with the id, or nil.
+func (e *Engines) ByID(id string) *Engine { return e.byID[id] }
+
+// Engine is what a daemon knows of one engine.
+type Engine struct {
+	*catalog.Engine
+	// Out tells that the engine's data centre is taken out.
+	Out bool
+	// ColdUntil is when the engine is warm.
+	ColdUntil clock.Instant
+	// MissingSince is when the engine's entry was found missing after an outage
+	// of the store, or 0.
+	MissingSince clock.Instant
+	// Load holds counters that outlive this snapshot.
+	Load *EngineLoad
+}
+
+// Usable tells whether the engine may get new work.
+func (e *Engine) Usable() bool { return !e.Out && !e.Draining }
+
+// Cold tells whether the engine is in cold start.
+func (e *Engine) Cold(now clock.Instant) bool { return now < e.ColdUntil }
+
+// Busy returns the number of requests at the engine as far as it is known:
+// those of this daemon and those that other daemons reported.
+func (e *Engine) Busy() int {
+	l := e.Load
+	return int(l.Online.Load() + l.Batch.Load() + l.PeerOnline.Load() + l.PeerBatch.Load())
+}
+
+// OnlineBusy returns the number of online requests at the engine as far as it is
+// known.
+func (e *Engine) OnlineBusy() int {
+	return int(e.Load.Online.Load() + e.Load.PeerOnline.Load())
+}
+
+// EngineLoad counts the work of one engine. Its fields are written on the path
+// of a request.
+type EngineLoad struct {
+	// Online and Batch are the requests that this daemon has at the engine.
+	Online, Batch atomic.Int64
+	// PeerOnline and PeerBatch are those of the other daemons, as they reported
+	// them last.
+	PeerOnline, PeerBatch atomic.Int64
+	// Failures counts the failures since the last success.
+	Failures atomic.Int64
+	// AvoidUntil is the instant until which the engine is avoided after a
+	// failure.
+	AvoidUntil atomic.Int64
+	// NextCold is the instant at which this daemon may send the next request
+	// while the engine is cold.
+	NextCold atomic.Int64
+}
+
+// Times for which an engine is avoided after failures.
+const (
+	firstAvoid = 500 * time.Millisecond
+	maxAvoid   = 4 * time.Second
+)
+
+// Succeeded notes that the engine answered.
+func (l *EngineLoad) Succeeded() {
+	if l.Failures.Load() != 0 {
+		l.Failures.Store(0)
+		l.AvoidUntil.Store(0)
+	}
+}
+
+// Failed notes that the engine failed. It is avoided for a time that doubles
+// with each failure in a row.
+func (l *EngineLoad) Failed(now clock.Instant) {
+	n := l.Failures.Add(1)
+	avoid := maxAvoid
+	if n < 5 {
+		avoid = min(firstAvoid<<(n-1), maxAvoid)
+	}
+	l.AvoidUntil.Store(int64(now.Add(avoid)))
+}
+
+// Avoided tells whether the engine is avoided after a failure.
+func (l *EngineLoad) Avoided(now clock.Instant) bool { return int64(now) < l.AvoidUntil.Load() }
+
+// TakeCold takes the right to send one request to a cold engine. The daemon may
+// send one in each interval.
+func (l *EngineLoad) TakeCold(now clock.Instant, interval time.Duration) bool {
+	for {
+		next := l.NextCold.Load()
+		if int64(now) < next {
+			return false
+		}
+		if l.NextCold.CompareAndSwap(next, int64(now.Add(interval))) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/blackboard/entry.go
@@ -0,0 +1,102 @@
+package blackboard
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+)
+
+// Entry is the shared state of an entry daemon, which serves callers straight
+// from the engines that are registered in the store. Each section has one
+// writing controller, which docs/DESIGN.md names.
+type Entry struct {
+	// Catalog is the configuration in force, or nil before the first one.
+	Catalog Section[*catalog.Catalog]
+	// Engines is the set of registered engines.
+	Engines Section[*Engines]
+	// TakenOut is the set of data centres that get no new work.
+	TakenOut Section[map[string]bool]
+	// Reading tells how recent the configuration is known to be.
+	Reading Section[Reading]
+	// Roster is the set of entry daemons that run.
+	Roster Section[*Roster]
+	// Jobs is the set of batch jobs.
+	Jobs Section[*Jobs]
+	// JobsRead is the instant at which the last reading of Jobs was asked for.
+	JobsRead atomic.Int64
+	// Shares holds the rate limiter of each workspace.
+	Shares Section[*Shares]
+	// Phase is the life cycle of the process.
+	Phase Section[Phase]
+	// Demand counts batch work that waits on this daemon.
+	Demand Section[Demand]
+	// Rivals is the number of other daemons on which batch work waits.
+	Rivals atomic.Int64
+}
+
+// NewEntry returns a board with empty sections.
+func NewEntry() *Entry {
+	b := new(Entry)
+	b.Engines.Publish(NewEngines(nil))
+	b.Roster.Publish(new(Roster))
+	b.Jobs.Publish(NewJobs(nil))
+	b.Shares.Publish(NewShares())
+	return b
+}
+
+// Reading is the last reading of the operators' rows.
+type Reading struct {
+	// Sent is when the reading was asked for: it shows everything that was
+	// acknowledged before. It is 0 before the first reading.
+	Sent clock.Instant
+	// Version is the store's version that the reading shows.
+	Version int64
+}
+
+// Within tells whether the reading was sent less than age before now.
+func (r Reading) Within(age time.Duration, now clock.Instant) bool {
+	return r.Sent != 0 && now.Sub(r.Sent) < age
+}
+
+// Peer is one running entry daemon.
+type Peer struct {
+	// Name is the VM's name.
+	Name string `json:"name"`
+	// Incarnation names one start of the daemon.
+	Incarnation string `json:"incarnation"`
+	// Address is where the daemon receives datagrams of its peers.
+	Address string `json:"address"`
+	// DataCentre is where the daemon runs.
+	DataCentre string `json:"data_centre"`
+}
+
+// Roster is the set of entry daemons that run, in the order of their names.
+type Roster struct {
+	// Self is this daemon.
+	Self Peer
+	// Peers lists all daemons, this one too once it is registered.
+	Peers []Peer
+	// Known tells that the store was read since the daemon started.
+	Known bool
+}
+
+// Has tells whether the incarnation runs.
+func (r *Roster) Has(incarnation string) bool {
+	for i := range r.Peers {
+		if r.Peers[i].Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// Size returns the number of daemons, at least 1.
+func (r *Roster) Size() int { return max(len(r.Peers), 1) }
+
+// Demand is the batch work that waits on a daemon.
+type Demand struct {
+	// Waiting is the number of items that wait for an engine.
+	Waiting int
+}
--- /dev/null
+++ b/blackboard/jobs.go
@@ -0,0 +1,37 @@
+package blackboard
+
+import (
+	"maps"
+
+	"github.com/baobablanding/baobablanding/job"
+)
+
+// Jobs is the set of batch jobs in the store, as it was last read.
+type Jobs struct {
+	byKey map[job.Key]*job.Versioned
+}
+
+// NewJobs returns the set of the given jobs.
+func NewJobs(byKey map[job.Key]*job.Versioned) *Jobs { return &Jobs{byKey: byKey} }
+
+// Get returns the job, or nil.
+func (j *Jobs) Get(key job.Key) *job.Versioned { return j.byKey[key] }
+
+// All returns all jobs. The caller must not modify the map.
+func (j *Jobs) All() map[job.Key]*job.Versioned { return j.byKey }
+
+// NoteJob publishes a head that this daemon wrote or read, unless a newer one is
+// known.
+func (b *Entry) NoteJob(key job.Key, head *job.Versioned) {
+	b.Jobs.Update(func(old *Jobs) *Jobs {
+		if known := old.Get(key); known != nil && known.Version >= head.Version {
+			return old
+		}
+		next := maps.Clone(old.byKey)
+		if next == nil {
+			next = make(map[job.Key]*job.Versioned)
+		}
+		next[key] = head
+		return NewJobs(next)
+	})
+}
--- /dev/null
+++ b/controller/jobs/follow.go
@@ -0,0 +1,71 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/store"
+	"github.com/baobablanding/baobablanding/timer"
+)
+
+// pollInterval is the time between two readings of the jobs' heads.
+const pollInterval = 200 * time.Millisecond
+
+// RunFollower follows the heads of all jobs until ctx is done.
+func (c *Controller) RunFollower(ctx context.Context) {
+	f := store.NewFollower(c.store, job.HeadTable)
+	for ctx.Err() == nil {
+		sent := clock.Now()
+		batch, err := f.Next(ctx)
+		if err == nil {
+			c.applyHeads(batch, sent)
+		} else if !errors.Is(err, context.Canceled) {
+			c.log.Warn().Err(err).Msg("heads of batch jobs were not read")
+		}
+		timer.Sleep(ctx, pollInterval)
+	}
+}
+
+// applyHeads publishes the heads that a reading shows.
+func (c *Controller) applyHeads(batch store.Batch, sent clock.Instant) {
+	c.board.JobsRead.Store(int64(sent))
+	if len(batch.Rows) == 0 && !batch.Whole {
+		return
+	}
+	c.board.Jobs.Update(func(old *blackboard.Jobs) *blackboard.Jobs {
+		next := make(map[job.Key]*job.Versioned)
+		if !batch.Whole {
+			maps.Copy(next, old.All())
+		}
+		for _, row := range batch.Rows {
+			c.applyHead(next, old, row)
+		}
+		return blackboard.NewJobs(next)
+	})
+}
+
+func (c *Controller) applyHead(next map[job.Key]*job.Versioned, old *blackboard.Jobs, row store.Row) {
+	key, ok := job.HeadKey(row.Key)
+	if !ok {
+		return
+	}
+	if row.Deleted {
+		delete(next, key)
+		return
+	}
+	if known := old.Get(key); known != nil && known.Version >= row.Version {
+		next[key] = known
+		return
+	}
+	head, err := job.DecodeHead(row.Value)
+	if err != nil {
+		c.log.Error().Str("job", key.ID).Int64("row_version", row.Version).Err(err).Msg("head of a batch job cannot be read")
+		return
+	}
+	next[key] = &job.Versioned{Head: head, Version: row.Version}
+}
--- /dev/null
+++ b/controller/loads/loads.go
@@ -0,0 +1,169 @@
+// Package loads tells the other entry daemons how many requests this one has at
+// each engine, and adds up what they tell.
+package loads
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/peer"
+)
+
+const (
+	// minInterval is the time between two reports in a small fleet.
+	minInterval = 80 * time.Millisecond
+	// intervalPerDaemon keeps the reports that a daemon sends and receives a
+	// second constant in a large fleet.
+	intervalPerDaemon = 8 * time.Millisecond
+	// maxAge is how long a report counts.
+	maxAge = 1200 * time.Millisecond
+	// maxDatagram is the size of the receive buffer.
+	maxDatagram = 64 << 10
+)
+
+// Controller keeps the peers' part of the engines' loads.
+type Controller struct {
+	board *blackboard.Entry
+	conn  *net.UDPConn
+	log   *log.Logger
+
+	mu      sync.Mutex
+	reports map[string]*report // by incarnation
+}
+
+type report struct {
+	peer.LoadReport
+	at clock.Instant
+}
+
+// Listen opens the daemon's socket.
+func Listen(address string) (*net.UDPConn, error) {
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp4", addr)
+}
+
+// New returns the controller that uses the socket.
+func New(board *blackboard.Entry, conn *net.UDPConn, logger *log.Logger) *Controller {
+	return &Controller{board: board, conn: conn, log: logger, reports: make(map[string]*report)}
+}
+
+// RunReceiver takes in reports until ctx is done.
+func (c *Controller) RunReceiver(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := c.conn.ReadFromUDP(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			c.log.Warn().Err(err).Msg("receiving a load report failed")
+			continue
+		}
+		r, err := peer.DecodeLoadReport(buf[:n])
+		if err != nil {
+			c.log.Warn().Err(err).Msg("load report cannot be read")
+			continue
+		}
+		c.take(r)
+	}
+}
+
+func (c *Controller) take(r peer.LoadReport) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.reports[r.From]
+	if old != nil && old.Sequence >= r.Sequence {
+		return
+	}
+	c.reports[r.From] = &report{LoadReport: r, at: clock.Now()}
+}
+
+// RunSender sends a report at regular intervals and adds up those of the others,
+// until ctx is done.
+func (c *Controller) RunSender(ctx context.Context) {
+	for sequence := int64(1); ; sequence++ {
+		roster := c.board.Roster.Value()
+		interval := max(minInterval, time.Duration(roster.Size())*intervalPerDaemon)
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return
+		}
+		c.sum(roster)
+		c.send(roster, sequence)
+	}
+}
+
+// sum adds up the reports of the daemons that run.
+func (c *Controller) sum(roster *blackboard.Roster) {
+	now := clock.Now()
+	online, batch := make(map[string]int64), make(map[string]int64)
+	waiting := 0
+	c.mu.Lock()
+	for from, r := range c.reports {
+		if now.Sub(r.at) > maxAge || !roster.Has(from) {
+			delete(c.reports, from)
+			continue
+		}
+		if r.Waiting > 0 {
+			waiting++
+		}
+		for id, counts := range r.Engines {
+			online[id] += counts[0]
+			batch[id] += counts[1]
+		}
+	}
+	c.mu.Unlock()
+	for _, e := range c.board.Engines.Value().All {
+		e.Load.PeerOnline.Store(online[e.ID])
+		e.Load.PeerBatch.Store(batch[e.ID])
+	}
+	c.board.Rivals.Store(int64(waiting))
+}
+
+func (c *Controller) send(roster *blackboard.Roster, sequence int64) {
+	r := peer.LoadReport{
+		From:     roster.Self.Incarnation,
+		Sequence: sequence,
+		Waiting:  c.board.Demand.Value().Waiting,
+		Engines:  make(map[string][2]int64),
+	}
+	for _, e := range c.board.Engines.Value().All {
+		online, batch := e.Load.Online.Load(), e.Load.Batch.Load()
+		if online != 0 || batch != 0 {
+			r.Engines[e.ID] = [2]int64{online, batch}
+		}
+	}
+	data, err := peer.EncodeLoadReport(r)
+	if err != nil {
+		c.log.Error().Err(err).Msg("load report cannot be encoded")
+		return
+	}
+	for i := range roster.Peers {
+		c.sendTo(&roster.Peers[i], roster, data)
+	}
+}
+
+func (c *Controller) sendTo(p *blackboard.Peer, roster *blackboard.Roster, data []byte) {
+	if p.Incarnation == roster.Self.Incarnation {
+		return
+	}
+	addr, err := net.ResolveUDPAddr("udp4", p.Address)
+	if err == nil {
+		_, err = c.conn.WriteToUDP(data, addr)
+	}
+	if err != nil {
+		c.log.Debug().Str("daemon", p.Name).Err(err).Msg("load report was not sent")
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,10 +34,16 @@
 // Main runs the process that start returns until a signal arrives, and returns
 // the exit code. A second signal ends a planned stop at once.
 func Main(settings config.Settings, start func(config.Settings, *log.Logger) (Process, error)) int {
+	logger := NewLogger(settings)
+	return runProcess(logger, settings.Drain, func() (Process, error) { return start(settings, logger) })
+}
+
+// runProcess runs the process that start returns until a signal arrives. A
+// planned stop may take as long as drain.
+func runProcess(logger *log.Logger, drain time.Duration, start func() (Process, error)) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	logger := NewLogger(settings)
-	process, err := start(settings, logger)
+	process, err := start()
 	if err != nil {
 		logger.Error().Err(err).Msg("start")
 		return exitFailed
@@ -45,7 +51,7 @@
 	logger.Info().Msg("started")
 	<-signals
 	logger.Info().Msg("stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), settings.Drain)
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
 	go func() {
 		<-signals
--- a/httpserve/client.go
+++ b/httpserve/client.go
@@ -20,19 +20,36 @@
 // the system decides itself when an upstream gets no requests.
 func NewClient(name string) httpc.Service {
 	breaker.NoBreakerFor(name)
-	return httpc.NewServiceWithClient(name, newHTTPClient(false))
+	return httpc.NewServiceWithClient(name, newHTTPClient(false, dialTimeout))
 }
 
 // NewSingleUseClient returns an HTTP client that uses a new connection for each
 // request. Such a request is never sent again by the library.
 func NewSingleUseClient(name string) httpc.Service {
 	breaker.NoBreakerFor(name)
-	return httpc.NewServiceWithClient(name, newHTTPClient(true))
+	return httpc.NewServiceWithClient(name, newHTTPClient(true, dialTimeout))
 }
 
-func newHTTPClient(singleUse bool) *http.Client {
+// NewEngineClient returns an HTTP client that uses a new connection for each
+// request and waits for at most dial until it is established. Such a request is
+// never sent again by the library.
+func NewEngineClient(name string, dial time.Duration) httpc.Service {
+	breaker.NoBreakerFor(name)
+	return httpc.NewServiceWithClient(name, newHTTPClient(true, dial))
+}
+
+// NewResettableClient returns an HTTP client with its own connection pool and a
+// function that closes the pool's idle connections, for use when one of them
+// has gone silent.
+func NewResettableClient(name string) (service httpc.Service, closeIdle func()) {
+	breaker.NoBreakerFor(name)
+	client := newHTTPClient(false, dialTimeout)
+	return httpc.NewServiceWithClient(name, client), client.CloseIdleConnections
+}
+
+func newHTTPClient(singleUse bool, dial time.Duration) *http.Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- /dev/null
+++ b/policy/placement/batch.go
@@ -0,0 +1,56 @@
+package placement
+
+import "github.com/baobablanding/baobablanding/blackboard"
+
+// BatchQuery is what a batch item asks of an engine.
+type BatchQuery struct {
+	Query
+	// Reserve is the number of slots that are left free for online requests.
+	Reserve int
+	// Rivals is the number of other daemons that look for slots too.
+	Rivals int
+}
+
+// ChooseForBatch returns the engine with the most free slots that may take an
+// item, or nil. An engine with few free slots is taken with a chance of one in
+// the number of daemons that look for slots, so that they do not all take it.
+func ChooseForBatch(engines []*blackboard.Engine, q *BatchQuery) *blackboard.Engine {
+	var best *blackboard.Engine
+	bestFree := 0.0
+	for _, e := range engines {
+		if !e.Usable() || e.MissingSince != 0 || e.Load.Avoided(q.Now) || q.Tried != nil && q.Tried(e) {
+			continue
+		}
+		spare := e.Slots - q.Reserve - e.Busy()
+		if spare <= 0 || spare <= q.Rivals && q.Random() > float64(spare)/float64(q.Rivals+1) {
+			continue
+		}
+		free := float64(spare)/float64(e.Slots) + q.Random()/(2*float64(e.Slots))
+		if best != nil && free <= bestFree {
+			continue
+		}
+		if e.Cold(q.Now) && !e.Load.TakeCold(q.Now, q.coldInterval()) {
+			continue
+		}
+		best, bestFree = e, free
+	}
+	return best
+}
+
+// Excess returns how many of its items this daemon takes away from the engine so
+// that online requests need not wait. Daemons that share an engine take away the
+// excess together, each in proportion to its items.
+func Excess(e *blackboard.Engine, random float64) int {
+	own := e.Load.Batch.Load()
+	all := own + e.Load.PeerBatch.Load()
+	over := int64(e.Busy() - e.Slots)
+	if own == 0 || over <= 0 {
+		return 0
+	}
+	share := float64(min(over, all)) * float64(own) / float64(all)
+	whole := int(share)
+	if random < share-float64(whole) {
+		whole++
+	}
+	return min(whole, int(own))
+}
--- /dev/null
+++ b/policy/placement/placement.go
@@ -0,0 +1,88 @@
+// Package placement chooses the engine for a request.
+package placement
+
+import (
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
+)
+
+const (
+	// coldPart is the part of the load that a cold engine bears which the
+	// daemons use together.
+	coldPart = 0.8
+	// remotePenalty is how many requests fewer an engine of another data centre
+	// must have to be preferred.
+	remotePenalty = 0.5
+)
+
+// Query is what a request asks of an engine.
+type Query struct {
+	// DataCentre is where the daemon runs.
+	DataCentre string
+	// Now is the current instant.
+	Now clock.Instant
+	// ColdRate is the number of requests a second that a cold engine of the
+	// service bears.
+	ColdRate float64
+	// Daemons is the number of daemons that share ColdRate.
+	Daemons int
+	// Tried tells whether the request was already at the engine. It may be nil.
+	Tried func(*blackboard.Engine) bool
+	// Random returns a number in [0, 1) that breaks ties.
+	Random func() float64
+	// MaxQueue is the number of online requests above an engine's slots from
+	// which it gets no more.
+	MaxQueue int
+}
+
+// Choose returns the engine with the lowest load that may take the request, or
+// nil. Engines that failed lately come last.
+func Choose(engines []*blackboard.Engine, q *Query) *blackboard.Engine {
+	var best *blackboard.Engine
+	bestCost := 0.0
+	for _, e := range engines {
+		if !e.Usable() || q.Tried != nil && q.Tried(e) {
+			continue
+		}
+		if e.OnlineBusy() >= e.Slots+q.MaxQueue {
+			continue
+		}
+		cost := q.cost(e)
+		if best != nil && cost >= bestCost {
+			continue
+		}
+		if e.Cold(q.Now) && !e.Load.TakeCold(q.Now, q.coldInterval()) {
+			continue
+		}
+		best, bestCost = e, cost
+	}
+	return best
+}
+
+// avoidedCost exceeds every load.
+const avoidedCost = 1e6
+
+func (q *Query) cost(e *blackboard.Engine) float64 {
+	cost := float64(e.Busy()) / float64(e.Slots)
+	if e.DataCentre != q.DataCentre {
+		cost += remotePenalty / float64(e.Slots)
+	}
+	if e.MissingSince != 0 {
+		cost += avoidedCost / 2
+	}
+	if e.Load.Avoided(q.Now) {
+		cost += avoidedCost
+	}
+	return cost + q.Random()/(4*float64(e.Slots))
+}
+
+// coldInterval returns the time between two requests of one daemon to a cold
+// engine.
+func (q *Query) coldInterval() time.Duration {
+	if q.ColdRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) * float64(max(q.Daemons, 1)) / (q.ColdRate * coldPart))
+}
--- /dev/null
+++ b/relay/admit.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/result"
+)
+
+const (
+	// tokenWait is how long a request waits for a token of its workspace's rate
+	// that is on the way from the store.
+	tokenWait = 200 * time.Millisecond
+	// staleRetry is when a caller should come back to a daemon that has lost the
+	// store.
+	staleRetry = 500 * time.Millisecond
+	// minRateRetry is the shortest time after which a caller over its rate
+	// should come back.
+	minRateRetry = 200 * time.Millisecond
+)
+
+// Admission is what a request was found to be.
+type Admission struct {
+	Catalog   *catalog.Catalog
+	Route     *catalog.Route
+	Workspace *catalog.Workspace // nil where no key is needed
+}
+
+// WorkspaceName returns the name of the workspace, or "".
+func (a *Admission) WorkspaceName() string {
+	if a.Workspace == nil {
+		return ""
+	}
+	return a.Workspace.Name
+}
+
+// Identify finds the request's route and workspace. It refuses while the
+// configuration is unknown or may be out of date.
+func (s *Server) Identify(host, path, key string) (*Admission, error) {
+	reading := s.board.Reading.Value()
+	cat := s.board.Catalog.Value()
+	if cat == nil {
+		return nil, result.New(result.ConfigMissing, result.NotRun).After(staleRetry)
+	}
+	if !reading.Within(s.validity, clock.Now()) {
+		return nil, result.New(result.ConfigStale, result.NotRun).After(staleRetry)
+	}
+	a := &Admission{Catalog: cat, Route: cat.Route(host, path)}
+	if a.Route == nil {
+		return nil, result.New(result.UnknownRoute, result.NotRun)
+	}
+	return a, a.authenticate(key)
+}
+
+// IdentifyWorkspace finds the workspace of a call that belongs to no route.
+func (s *Server) IdentifyWorkspace(key string) (*Admission, error) {
+	cat := s.board.Catalog.Value()
+	if cat == nil {
+		return nil, result.New(result.ConfigMissing, result.NotRun).After(staleRetry)
+	}
+	if !s.board.Reading.Value().Within(s.validity, clock.Now()) {
+		return nil, result.New(result.ConfigStale, result.NotRun).After(staleRetry)
+	}
+	a := &Admission{Catalog: cat}
+	return a, a.authenticate(key)
+}
+
+func (a *Admission) authenticate(key string) error {
+	if !a.Catalog.Keyed() || a.Route != nil && a.Route.Open {
+		return nil
+	}
+	if key == "" {
+		return result.New(result.KeyMissing, result.NotRun)
+	}
+	if a.Workspace = a.Catalog.WorkspaceOf(key); a.Workspace == nil {
+		return result.New(result.KeyUnknown, result.NotRun)
+	}
+	return nil
+}
+
+// takeToken takes a token of the workspace's rate. It waits a little for tokens
+// that are on their way from the store.
+func (s *Server) takeToken(ctx context.Context, w *catalog.Workspace) error {
+	if w == nil || w.Rate <= 0 {
+		return nil
+	}
+	share := s.board.Shares.Value().ByWorkspace[w.Name]
+	if share == nil {
+		return result.New(result.Starting, result.NotRun).After(minRateRetry)
+	}
+	share.Asked.Add(1)
+	var timeout <-chan time.Time
+	for {
+		snap := share.Grant.Load()
+		now := clock.Now()
+		if share.Take(snap.Value, now) {
+			return nil
+		}
+		if next, empty := snap.Value.Exhausted(now); empty {
+			return rateExceeded(next.Sub(now))
+		}
+		if timeout == nil {
+			timer := time.NewTimer(tokenWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-snap.Changed():
+		case <-timeout:
+			return rateExceeded(minRateRetry)
+		case <-ctx.Done():
+			return result.New(result.CallerGone, result.NotRun)
+		}
+	}
+}
+
+func rateExceeded(wait time.Duration) error {
+	return result.New(result.RateExceeded, result.NotRun).After(max(wait, minRateRetry))
+}
+
+// candidates returns the service that the route picks and its engines.
+func (s *Server) candidates(a *Admission) (*catalog.Service, []*blackboard.Engine) {
+	name := a.Route.Pick(s.random())
+	return a.Catalog.Service(name), s.board.Engines.Value().OfService(name)
+}
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,353 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/policy/placement"
+	"github.com/baobablanding/baobablanding/result"
+)
+
+const (
+	// maxQueue is the number of online requests that may wait at an engine.
+	maxQueue = 4
+	// maxRefusals bounds the engines that may refuse a request before it is
+	// given up.
+	maxRefusals = 6
+	// busyRetry is when a caller should come back after all engines were full.
+	busyRetry = 350 * time.Millisecond
+	// firstEventSilence and eventSilence are how long a stream that can go on
+	// elsewhere may be silent before it is taken away from its engine.
+	firstEventSilence = 1200 * time.Millisecond
+	eventSilence      = 600 * time.Millisecond
+	// maxBufferedBytes bounds an answer that is no stream.
+	maxBufferedBytes = 16 << 20
+)
+
+// Server runs requests.
+type Server struct {
+	board      *blackboard.Entry
+	engines    Engines
+	dataCentre string
+	validity   time.Duration
+	log        *log.Logger
+	metrics    *Metrics
+	random     func() float64
+}
+
+// NewServer returns a server of a daemon in the data centre. The configuration
+// is used for at most validity after it was asked for.
+func NewServer(board *blackboard.Entry, engines Engines, dataCentre string, validity time.Duration, metrics *Metrics, logger *log.Logger) *Server {
+	return &Server{
+		board: board, engines: engines, dataCentre: dataCentre, validity: validity,
+		log: logger, metrics: metrics, random: rand.Float64,
+	}
+}
+
+// run is one admitted request.
+type run struct {
+	*Request
+	*Admission
+	server   *Server
+	sink     Sink
+	deadline clock.Instant // 0 without one
+	tried    []string
+	refusals int
+	runs     int   // engines that may have run the request
+	started  bool  // the sink has the status
+	last     int64 // number of the last event passed on
+}
+
+// Serve runs an identified request and passes the answer to the sink. An error
+// tells that the answer is not complete; started tells whether a part of it was
+// passed on.
+func (s *Server) Serve(ctx context.Context, admission *Admission, req *Request, sink Sink) (started bool, err error) {
+	r := &run{Request: req, Admission: admission, server: s, sink: sink, last: -1}
+	r.deadline = deadline(req, admission.Route)
+	if err := s.takeToken(ctx, admission.Workspace); err != nil {
+		return false, err
+	}
+	if r.deadline != 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.deadline.Sub(clock.Now()))
+		defer cancel()
+	}
+	err = r.attempts(ctx)
+	return r.started, err
+}
+
+// deadline returns when the request must have its answer.
+func deadline(req *Request, route *catalog.Route) clock.Instant {
+	left := req.Patience
+	if route.Timeout > 0 && (left == 0 || route.Timeout < left) {
+		left = route.Timeout
+	}
+	if left == 0 {
+		return 0
+	}
+	return req.Received.Add(left)
+}
+
+// attempts sends the request to engines until one answers or no further attempt
+// is allowed.
+func (r *run) attempts(ctx context.Context) error {
+	for {
+		engine := r.choose()
+		if engine == nil {
+			return r.giveUp(result.New(result.NoUpstream, result.NotRun).After(busyRetry))
+		}
+		r.tried = append(r.tried, engine.ID)
+		err := r.attempt(ctx, engine)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return r.ended(ctx)
+		}
+		if !r.again(err) {
+			return r.giveUp(err)
+		}
+		r.server.metrics.retries.Inc()
+	}
+}
+
+// giveUp returns the error with the verdict of all attempts together.
+func (r *run) giveUp(err error) error {
+	if r.runs == 0 {
+		return err
+	}
+	coded := result.From(err)
+	if coded.Verdict == result.NotRun {
+		coded = result.New(result.OutcomeUnknown, result.MayHaveRun)
+	}
+	return coded
+}
+
+// ended returns the error of a request whose caller left or whose time is up.
+func (r *run) ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result.New(result.DeadlineExceeded, result.MayHaveRun)
+	}
+	return result.New(result.CallerGone, result.MayHaveRun)
+}
+
+// again tells whether the request may be sent to another engine after err.
+func (r *run) again(err error) bool {
+	if result.From(err).Verdict == result.NotRun {
+		r.refusals++
+		return r.refusals <= maxRefusals
+	}
+	return r.Route.MayRepeat() && r.runs < r.Route.Attempts
+}
+
+func (r *run) choose() *blackboard.Engine {
+	service, engines := r.server.candidates(r.Admission)
+	if service == nil {
+		return nil
+	}
+	query := placement.Query{
+		DataCentre: r.server.dataCentre,
+		Now:        clock.Now(),
+		ColdRate:   service.ColdRate,
+		Daemons:    r.server.board.Roster.Value().Size(),
+		Tried:      r.wasTried,
+		Random:     r.server.random,
+		MaxQueue:   maxQueue,
+	}
+	return placement.Choose(engines, &query)
+}
+
+func (r *run) wasTried(e *blackboard.Engine) bool {
+	for _, id := range r.tried {
+		if id == e.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// attempt runs the request at the engine.
+func (r *run) attempt(ctx context.Context, engine *blackboard.Engine) error {
+	load := engine.Load
+	load.Online.Add(1)
+	defer load.Online.Add(-1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := r.watch(cancel)
+	defer watch.Stop()
+	answer, err := r.server.engines.Call(ctx, r.call(engine))
+	if err != nil {
+		return r.callFailed(ctx, engine, err)
+	}
+	defer answer.Body.Close()
+	if answer.NotRun || answer.Misdirected {
+		return r.refused(engine, answer)
+	}
+	r.runs++
+	if answer.Status >= http.StatusInternalServerError && r.mayRetryAnswer() {
+		r.decision(engine, "retry").Int("status", answer.Status).Msg("engine failed")
+		return result.New(result.UpstreamFailed, result.Answered)
+	}
+	if err := r.pass(answer, watch); err != nil {
+		r.broken(ctx, engine, err)
+		return err
+	}
+	load.Succeeded()
+	return nil
+}
+
+// mayRetryAnswer tells whether a failed answer may be replaced by another
+// engine's.
+func (r *run) mayRetryAnswer() bool {
+	return r.Route.MayRepeat() && r.runs < r.Route.Attempts
+}
+
+// watch ends the attempt when its engine is silent and another one can go on.
+func (r *run) watch(cancel context.CancelFunc) *time.Timer {
+	if !r.Route.Resumable || r.runs+1 >= r.Route.Attempts {
+		timer := time.AfterFunc(time.Hour, func() {})
+		timer.Stop()
+		return timer
+	}
+	return time.AfterFunc(firstEventSilence, cancel)
+}
+
+func (r *run) call(engine *blackboard.Engine) *Call {
+	call := &Call{
+		ID: r.ID, Host: r.Host, Target: r.Target, Method: r.Method, Header: r.Header, Body: r.Body,
+		Workspace: r.WorkspaceName(), Engine: engine, After: r.last,
+	}
+	if r.deadline != 0 {
+		call.Left = max(r.deadline.Sub(clock.Now()), time.Millisecond)
+	}
+	return call
+}
+
+func (r *run) callFailed(ctx context.Context, engine *blackboard.Engine, err error) error {
+	var failed *CallError
+	sent := !errors.As(err, &failed) || failed.Sent
+	if sent {
+		r.runs++
+	}
+	r.broken(ctx, engine, err)
+	if sent {
+		return result.New(result.OutcomeUnknown, result.MayHaveRun)
+	}
+	return result.New(result.UpstreamUnreachable, result.NotRun).After(busyRetry)
+}
+
+// broken notes that the engine failed, unless the request was over.
+func (r *run) broken(ctx context.Context, engine *blackboard.Engine, err error) {
+	if result.CodeOf(err) == result.CallerGone {
+		return
+	}
+	if ctx.Err() != nil && r.deadline != 0 && clock.Now() >= r.deadline {
+		return
+	}
+	engine.Load.Failed(clock.Now())
+	r.decision(engine, "failed").Err(err).Msg("attempt failed")
+}
+
+func (r *run) refused(engine *blackboard.Engine, answer *Answer) error {
+	if answer.Misdirected {
+		engine.Load.Failed(clock.Now())
+	}
+	r.decision(engine, "refused").Int("status", answer.Status).Msg("engine did not run the request")
+	return result.New(result.UpstreamOverloaded, result.NotRun).After(busyRetry)
+}
+
+// decision starts a log line about the request at the engine.
+func (r *run) decision(engine *blackboard.Engine, outcome string) *log.Entry {
+	return r.server.log.Warn().Str("request", r.ID).Str("engine", engine.ID).Str("outcome", outcome).
+		Int("engine_online", engine.OnlineBusy()).Int("engine_busy", engine.Busy()).
+		Int64("config_version", r.Catalog.Version).Int("runs", r.runs)
+}
+
+// pass hands the answer to the sink.
+func (r *run) pass(answer *Answer, watch *time.Timer) error {
+	if answer.Events && answer.Status == http.StatusOK {
+		return r.passEvents(answer, watch)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
+	if err != nil {
+		return result.New(result.AnswerIncomplete, result.MayHaveRun)
+	}
+	if err := r.start(answer); err != nil {
+		return err
+	}
+	return r.write(body)
+}
+
+func (r *run) start(answer *Answer) error {
+	if r.started {
+		return nil
+	}
+	r.started = true
+	if err := r.sink.Start(answer.Status, answer.Header); err != nil {
+		return result.New(result.CallerGone, result.MayHaveRun)
+	}
+	return nil
+}
+
+func (r *run) write(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if err := r.sink.Write(data); err != nil {
+		return result.New(result.CallerGone, result.MayHaveRun)
+	}
+	return nil
+}
+
+// passEvents passes whole events on as they arrive. Events that the caller has
+// already are left out.
+func (r *run) passEvents(answer *Answer, watch *time.Timer) error {
+	reader := NewEventReader(answer.Body)
+	for {
+		events, err := reader.Next()
+		if err == io.EOF {
+			if err := r.start(answer); err != nil {
+				return err
+			}
+			return r.write(reader.Rest())
+		}
+		if err != nil {
+			return result.New(result.AnswerIncomplete, result.MayHaveRun)
+		}
+		if err := r.start(answer); err != nil {
+			return err
+		}
+		watch.Reset(eventSilence)
+		if err := r.passNew(events); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *run) passNew(events []Event) error {
+	var data []byte
+	for _, e := range events {
+		if e.Number >= 0 && e.Number <= r.last {
+			continue
+		}
+		data = append(data, e.Raw...)
+		r.last = max(r.last, e.Number)
+	}
+	return r.write(data)
+}
+
+// Refused logs a request that got no answer of an engine.
+func (s *Server) Refused(id string, err error) {
+	e := result.From(err)
+	s.log.Info().Str("request", id).Str("result", e.Code.String()).Int("code", int(e.Code)).Str("verdict", e.Verdict.String()).
+		Dur("reading_age", clock.Since(s.board.Reading.Value().Sent)).Msg("request was not served")
+}
--- a/result/code.go
+++ b/result/code.go
@@ -66,6 +66,7 @@
 	ItemFailed     Code = 4006
 	OutputNotReady Code = 4007
 	EmptyBatch     Code = 4008
+	TooManyTokens  Code = 4009
 )
 
 // Codes 5xxx report on the configuration.
@@ -144,6 +145,7 @@
 	JobCancelled:   {"job_cancelled", http.StatusConflict, "the batch job was cancelled"},
 	ItemFailed:     {"item_failed", http.StatusUnprocessableEntity, "the item failed in every attempt"},
 	OutputNotReady: {"output_not_ready", http.StatusConflict, "the output is not complete yet"},
+	TooManyTokens:  {"too_many_tokens", http.StatusTooManyRequests, "the workspace has too many tokens waiting on the route"},
 	EmptyBatch:     {"empty_batch", http.StatusBadRequest, "the batch file holds no items"},
 
 	ConfigInvalid:  {"config_invalid", http.StatusBadRequest, "the configuration is invalid"},
