--- a/blackboard/shares.go
+++ b/blackboard/shares.go
@@ -51,7 +51,7 @@
 // Take takes one token. It wakes the controller when the tokens run low.
 func (s *Share) Take(g *Grant, now clock.Instant) bool {
 	ok := now < g.expires && g.left.Add(-1) >= 0
-	if !ok || g.left.Load() < g.lowWater {
+	if !ok || g.Low(now) {
 		select {
 		case s.Needed <- struct{}{}:
 		default:
@@ -60,6 +60,14 @@
 	return ok
 }
 
+// Low tells whether the grant is used up, for the most part or past its end.
+func (g *Grant) Low(now clock.Instant) bool {
+	return g.Expired(now) || g.left.Load() < max(g.lowWater, 1)
+}
+
+// Expired tells whether the tokens may not be used any more.
+func (g *Grant) Expired(now clock.Instant) bool { return now >= g.expires }
+
 // Exhausted returns the instant of the next token if the shared bucket is known
 // to be empty now.
 func (g *Grant) Exhausted(now clock.Instant) (next clock.Instant, empty bool) {
--- a/controller/directory/directory.go
+++ b/controller/directory/directory.go
@@ -20,7 +20,7 @@
 
 const (
 	// pollInterval is the time between two readings.
-	pollInterval = 300 * time.Millisecond
+	pollInterval = 400 * time.Millisecond
 	// outageAfter is how old the last reading is when the store counts as
 	// having been away.
 	outageAfter = 1500 * time.Millisecond
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -24,8 +24,6 @@
 const (
 	// tick is the time between two looks at the engines.
 	tick = 40 * time.Millisecond
-	// reserve is the number of slots of an engine that items leave free.
-	reserve = 1
 	// startValidity is how old the last reading of the store may be when an item
 	// is started: an engine that leaves, a data centre that is taken out or the
 	// end of a job would be noticed too late.
@@ -381,7 +379,7 @@
 			DataCentre: c.self.DataCentre, Now: clock.Now(), ColdRate: service.ColdRate,
 			Daemons: c.board.Roster.Value().Size(), Random: rand.Float64, Tried: p.wasRefused,
 		},
-		Reserve: reserve,
+		Reserve: placement.Reserve(clock.Since(o.seen), o.head.Due),
 		Rivals:  int(c.board.Rivals.Load()),
 	}
 	engine := placement.ChooseForBatch(c.board.Engines.Value().OfService(service.Name), &query)
--- a/controller/rates/rates.go
+++ b/controller/rates/rates.go
@@ -27,9 +27,9 @@
 
 const (
 	// horizon is how long the tokens of one grant should last.
-	horizon = 300 * time.Millisecond
+	horizon = time.Second
 	// validity is how long tokens may be used.
-	validity = 600 * time.Millisecond
+	validity = 1200 * time.Millisecond
 	// patience is how long a call of the store may take before requests get
 	// tokens on credit.
 	patience = 120 * time.Millisecond
@@ -37,13 +37,17 @@
 	creditTime = 150 * time.Millisecond
 	// averageTime is the time over which requests are averaged.
 	averageTime = 1500 * time.Millisecond
+	// minAverageTime is the shortest time over which a rate is measured.
+	minAverageTime = 300 * time.Millisecond
 	// minCreditRate is the number of requests a second that are served on credit
 	// for a workspace without recent requests.
 	minCreditRate = 0.5
 	// minWait is the shortest wait for an empty bucket.
 	minWait = 20 * time.Millisecond
 	// maxTries bounds the conflicts with other daemons for one grant.
-	maxTries = 6
+	maxTries = 10
+	// conflictPause is the longest pause after a conflict.
+	conflictPause = 8 * time.Millisecond
 	// callTimeout bounds one call of the store.
 	callTimeout = 1500 * time.Millisecond
 )
@@ -160,7 +164,7 @@
 		return
 	}
 	asked := a.share.Asked.Load()
-	rate := float64(asked-a.asked) / math.Max(passed.Seconds(), horizon.Seconds())
+	rate := float64(asked-a.asked) / math.Max(passed.Seconds(), minAverageTime.Seconds())
 	weight := 1 - math.Exp(-passed.Seconds()/averageTime.Seconds())
 	a.perSecond += weight * (rate - a.perSecond)
 	a.asked, a.averaged = asked, now
@@ -170,12 +174,15 @@
 // get tokens on credit.
 func (a *account) refill(ctx context.Context) {
 	limit, ok := a.limit()
-	if !ok {
+	if !ok || !a.share.Grant.Value().Low(clock.Now()) {
 		return
 	}
 	a.average()
-	unused := a.share.Grant.Value().Close()
-	want := bucket.Want(a.perSecond, horizon)
+	unused := 0
+	if grant := a.share.Grant.Value(); grant.Expired(clock.Now()) {
+		unused = grant.Close()
+	}
+	want := bucket.Want(a.perSecond, horizon, limit)
 	done := make(chan outcome, 1)
 	go func() { done <- a.take(ctx, limit, want, unused) }()
 	wait := patience
@@ -198,13 +205,14 @@
 // more than the recent rate of this daemon.
 func (a *account) giveCredit(limit bucket.Limit) {
 	unused := a.share.Grant.Value().Close()
+	a.debt -= min(unused, a.debt)
 	rate := math.Max(math.Min(a.perSecond, limit.Rate), minCreditRate)
 	exact := rate * creditTime.Seconds()
 	tokens := int(exact)
 	if rand.Float64() < exact-float64(tokens) {
 		tokens++
 	}
-	a.debt += tokens - min(unused, a.debt)
+	a.debt += tokens
 	now := clock.Now()
 	a.share.Grant.Publish(blackboard.NewGrant(tokens, now.Add(2*creditTime), 0))
 }
@@ -240,6 +248,7 @@
 			return outcome{err: err}
 		}
 		a.adopt(err, limit)
+		timer.Sleep(ctx, time.Duration(rand.Int64N(int64(conflictPause))))
 	}
 	return outcome{wait: minWait}
 }
@@ -315,15 +324,14 @@
 		a.lost = false
 		a.log.Info().Str("workspace", a.workspace).Int("debt", a.debt).Msg("shared rate is reached again")
 	}
-	given := a.share.Grant.Value().Close()
-	a.debt -= min(given, a.debt)
 	paid := min(max(o.taken-want, 0), a.debt)
 	a.debt -= paid
-	if o.taken == 0 {
+	tokens := o.taken - paid + a.share.Grant.Value().Close()
+	if tokens == 0 {
 		a.share.Grant.Publish(blackboard.NewGrant(0, 0, now.Add(o.wait)))
 		return
 	}
-	a.share.Grant.Publish(blackboard.NewGrant(o.taken-paid, now.Add(validity), 0))
+	a.share.Grant.Publish(blackboard.NewGrant(tokens, now.Add(validity), 0))
 }
 
 // fail gives tokens on credit after a call that failed.
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -24,7 +24,7 @@
 	// heartbeat is the time between two writes of a daemon's row.
 	heartbeat = 700 * time.Millisecond
 	// readInterval is the time between two readings of all rows.
-	readInterval = 400 * time.Millisecond
+	readInterval = 600 * time.Millisecond
 	// lapseTime is how long a daemon may leave its row unchanged while the store
 	// is read.
 	lapseTime = 2500 * time.Millisecond
--- a/policy/bucket/bucket.go
+++ b/policy/bucket/bucket.go
@@ -52,8 +52,12 @@
 	return time.Duration((1 - s.Tokens) / l.Rate * float64(time.Second))
 }
 
+// maxPart is the time whose tokens one daemon may hold at most.
+const maxPart = 300 * time.Millisecond
+
 // Want returns how many tokens a daemon asks for that got the given number of
 // requests a second lately and needs enough for the horizon.
-func Want(perSecond float64, horizon time.Duration) int {
-	return max(int(math.Ceil(perSecond*horizon.Seconds())), 1)
+func Want(perSecond float64, horizon time.Duration, l Limit) int {
+	most := math.Ceil(l.Rate * maxPart.Seconds())
+	return max(int(math.Min(math.Ceil(perSecond*horizon.Seconds())+1, most)), 1)
 }
