--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -22,6 +22,8 @@
 	Reading Section[Reading]
 	// Roster is the set of entry daemons that run.
 	Roster Section[*Roster]
+	// Homes is the set of engines, by id, that this daemon prefers.
+	Homes Section[map[string]bool]
 	// Jobs is the set of batch jobs.
 	Jobs Section[*Jobs]
 	// JobsRead is the instant at which the last reading of Jobs was asked for.
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -378,6 +378,7 @@
 		Query: placement.Query{
 			DataCentre: c.self.DataCentre, Now: clock.Now(), ColdRate: service.ColdRate,
 			Daemons: c.board.Roster.Value().Size(), Random: rand.Float64, Tried: p.wasRefused,
+			Homes: c.board.Homes.Value(),
 		},
 		Reserve: placement.Reserve(clock.Since(o.seen), o.head.Due),
 		Rivals:  int(c.board.Rivals.Load()),
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -13,6 +13,7 @@
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/peer"
+	"github.com/baobablanding/baobablanding/policy/placement"
 )
 
 const (
@@ -33,6 +34,8 @@
 	conn  *net.UDPConn
 	log   *log.Logger
 
+	seen [2]uint64 // versions of the engines and the daemons behind Homes
+
 	mu      sync.Mutex
 	reports map[string]*report // by incarnation
 }
@@ -101,10 +104,22 @@
 			return
 		}
 		c.sum(roster)
+		c.findHomes()
 		c.send(roster, sequence)
 	}
 }
 
+// findHomes publishes which engines the daemon prefers, if the engines or the
+// daemons changed.
+func (c *Controller) findHomes() {
+	engines, roster := c.board.Engines.Load(), c.board.Roster.Load()
+	seen := [2]uint64{engines.Version, roster.Version}
+	if c.seen != seen {
+		c.seen = seen
+		c.board.Homes.Publish(placement.Homes(engines.Value.All, roster.Value))
+	}
+}
+
 // sum adds up the reports of the daemons that run.
 func (c *Controller) sum(roster *blackboard.Roster) {
 	now := clock.Now()
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -47,6 +47,9 @@
 			continue
 		}
 		spare := e.Slots - q.Reserve - e.Busy()
+		if !q.Homes[e.ID] {
+			spare--
+		}
 		if spare <= 0 || spare <= q.Rivals && q.Random() > float64(spare)/float64(q.Rivals+1) {
 			continue
 		}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -12,9 +12,11 @@
 	// coldPart is the part of the load that a cold engine bears which the
 	// daemons use together.
 	coldPart = 0.8
-	// remotePenalty is how many requests fewer an engine of another data centre
-	// must have to be preferred.
-	remotePenalty = 0.5
+	// awayPenalty and remotePenalty are how many requests fewer than a preferred
+	// engine another one of the data centre, or of another one, must have to be
+	// chosen.
+	awayPenalty   = 1.5
+	remotePenalty = 2.0
 )
 
 // Query is what a request asks of an engine.
@@ -32,6 +34,8 @@
 	Tried func(*blackboard.Engine) bool
 	// Random returns a number in [0, 1) that breaks ties.
 	Random func() float64
+	// Homes is the set of engines, by id, that the daemon prefers.
+	Homes map[string]bool
 	// MaxQueue is the number of online requests above an engine's slots from
 	// which it gets no more.
 	MaxQueue int
@@ -66,8 +70,8 @@
 
 func (q *Query) cost(e *blackboard.Engine) float64 {
 	cost := float64(e.Busy()) / float64(e.Slots)
-	if e.DataCentre != q.DataCentre {
-		cost += remotePenalty / float64(e.Slots)
+	if !q.Homes[e.ID] {
+		cost += q.away(e) / float64(e.Slots)
 	}
 	if e.MissingSince != 0 {
 		cost += avoidedCost / 2
@@ -78,6 +82,13 @@
 	return cost + q.Random()/(4*float64(e.Slots))
 }
 
+func (q *Query) away(e *blackboard.Engine) float64 {
+	if e.DataCentre == q.DataCentre {
+		return awayPenalty
+	}
+	return remotePenalty
+}
+
 // coldInterval returns the time between two requests of one daemon to a cold
 // engine.
 func (q *Query) coldInterval() time.Duration {
--- a/relay/request.go
+++ b/relay/request.go
@@ -72,6 +72,9 @@
 	Misdirected bool
 	// Events tells that the body is a stream of events.
 	Events bool
+	// Running and Waiting are the engine's requests when it began to answer, or
+	// -1 if it does not tell.
+	Running, Waiting int
 	// Body is the rest of the answer. An early end is an error other than
 	// io.EOF.
 	Body io.ReadCloser
--- a/relay/server.go
+++ b/relay/server.go
@@ -65,6 +65,12 @@
 	runs     int   // engines that may have run the request
 	started  bool  // the sink has the status
 	last     int64 // number of the last event passed on
+
+	admitted     clock.Instant // when the rate admitted it
+	first        clock.Instant // when the answer began
+	online, busy int           // load of the engine when it was chosen
+
+	running, waiting int // load that the engine reported with its answer
 }
 
 // Serve runs an identified request and passes the answer to the sink. An error
@@ -76,15 +82,29 @@
 	if err := s.takeToken(ctx, admission.Workspace); err != nil {
 		return false, err
 	}
+	r.admitted = clock.Now()
 	if r.deadline != 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, r.deadline.Sub(clock.Now()))
 		defer cancel()
 	}
 	err = r.attempts(ctx)
+	if err == nil {
+		r.served()
+	}
 	return r.started, err
 }
 
+// served logs the request's way to its answer.
+func (r *run) served() {
+	r.server.log.Info().Str("request", r.ID).Str("workspace", r.WorkspaceName()).Str("route", r.Route.Name).
+		Strs("engines", r.tried).Int("engine_online", r.online).Int("engine_busy", r.busy).
+		Int("reported_running", r.running).Int("reported_waiting", r.waiting).
+		Dur("admitted", r.admitted.Sub(r.Received)).Dur("first_event", r.first.Sub(r.Received)).
+		Dur("took", clock.Since(r.Received)).Int64("config_version", r.Catalog.Version).Int("runs", r.runs).
+		Msg("request was served")
+}
+
 // deadline returns when the request must have its answer.
 func deadline(req *Request, route *catalog.Route) clock.Instant {
 	left := req.Patience
@@ -161,6 +181,7 @@
 		Daemons:    r.server.board.Roster.Value().Size(),
 		Tried:      r.wasTried,
 		Random:     r.server.random,
+		Homes:      r.server.board.Homes.Value(),
 		MaxQueue:   maxQueue,
 	}
 	return placement.Choose(engines, &query)
@@ -178,6 +199,7 @@
 // attempt runs the request at the engine.
 func (r *run) attempt(ctx context.Context, engine *blackboard.Engine) error {
 	load := engine.Load
+	r.online, r.busy = engine.OnlineBusy(), engine.Busy()
 	load.Online.Add(1)
 	defer load.Online.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
@@ -291,7 +313,8 @@
 	if r.started {
 		return nil
 	}
-	r.started = true
+	r.started, r.first = true, clock.Now()
+	r.running, r.waiting = answer.Running, answer.Waiting
 	if err := r.sink.Start(answer.Status, answer.Header); err != nil {
 		return result.New(result.CallerGone, result.MayHaveRun)
 	}
