--- a/blackboard/engines.go
+++ b/blackboard/engines.go
@@ -53,11 +53,13 @@
 // Cold tells whether the engine is in cold start.
 func (e *Engine) Cold(now clock.Instant) bool { return now < e.ColdUntil }
 
-// Busy returns the number of requests at the engine as far as it is known:
-// those of this daemon and those that other daemons reported.
+// Busy returns the number of requests at the engine as far as it is known: those
+// of this daemon and those that other daemons told of, or what the engine itself
+// reported a moment ago if that is more.
 func (e *Engine) Busy() int {
 	l := e.Load
-	return int(l.Online.Load() + l.Batch.Load() + l.PeerOnline.Load() + l.PeerBatch.Load())
+	known := l.Online.Load() + l.Batch.Load() + l.PeerOnline.Load() + l.PeerBatch.Load()
+	return int(max(known, l.Reported(clock.Now())))
 }
 
 // OnlineBusy returns the number of online requests at the engine as far as it is
@@ -74,6 +76,8 @@
 	// PeerOnline and PeerBatch are those of the other daemons, as they reported
 	// them last.
 	PeerOnline, PeerBatch atomic.Int64
+	// reported is what the engine reported last, and reportedAt when.
+	reported, reportedAt atomic.Int64
 	// Failures counts the failures since the last success.
 	Failures atomic.Int64
 	// AvoidUntil is the instant until which the engine is avoided after a
@@ -84,6 +88,23 @@
 	NextCold atomic.Int64
 }
 
+// reportValidity is how long the engine's own report of its load counts.
+const reportValidity = 300 * time.Millisecond
+
+// Report notes how many requests the engine said that it has.
+func (l *EngineLoad) Report(requests int, now clock.Instant) {
+	l.reported.Store(int64(requests))
+	l.reportedAt.Store(int64(now))
+}
+
+// Reported returns the engine's own report, or 0 if it is too old.
+func (l *EngineLoad) Reported(now clock.Instant) int64 {
+	if now.Sub(clock.Instant(l.reportedAt.Load())) > reportValidity {
+		return 0
+	}
+	return l.reported.Load()
+}
+
 // Times for which an engine is avoided after failures.
 const (
 	firstAvoid = 500 * time.Millisecond
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -18,10 +18,10 @@
 
 const (
 	// minInterval is the time between two reports in a small fleet.
-	minInterval = 80 * time.Millisecond
+	minInterval = 30 * time.Millisecond
 	// intervalPerDaemon keeps the reports that a daemon sends and receives a
 	// second constant in a large fleet.
-	intervalPerDaemon = 8 * time.Millisecond
+	intervalPerDaemon = 2 * time.Millisecond
 	// maxAge is how long a report counts.
 	maxAge = 1200 * time.Millisecond
 	// maxDatagram is the size of the receive buffer.
@@ -148,16 +148,17 @@
 }
 
 func (c *Controller) send(roster *blackboard.Roster, sequence int64) {
+	now := clock.Now()
 	r := peer.LoadReport{
 		From:     roster.Self.Incarnation,
 		Sequence: sequence,
 		Waiting:  c.board.Demand.Value().Waiting,
-		Engines:  make(map[string][2]int64),
+		Engines:  make(map[string][3]int64),
 	}
 	for _, e := range c.board.Engines.Value().All {
-		online, batch := e.Load.Online.Load(), e.Load.Batch.Load()
-		if online != 0 || batch != 0 {
-			r.Engines[e.ID] = [2]int64{online, batch}
+		counts := [3]int64{e.Load.Online.Load(), e.Load.Batch.Load(), e.Load.Reported(now)}
+		if counts != [3]int64{} {
+			r.Engines[e.ID] = counts
 		}
 	}
 	data, err := peer.EncodeLoadReport(r)
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -18,9 +18,10 @@
 	Sequence int64 `json:"seq"`
 	// Waiting is the number of batch items that wait for an engine.
 	Waiting int `json:"waiting"`
-	// Engines holds the online requests and the batch items at each engine that
-	// has any.
-	Engines map[string][2]int64 `json:"engines"`
+	// Engines holds, for each engine that has any, the online requests and the
+	// batch items of the daemon, and the requests that the engine reported to it a
+	// moment ago.
+	Engines map[string][3]int64 `json:"engines"`
 }
 
 // EncodeLoadReport returns the datagram that carries the report.
--- a/relay/request.go
+++ b/relay/request.go
@@ -80,6 +80,13 @@
 	Body io.ReadCloser
 }
 
+// note keeps the load that the engine reported with its answer.
+func (a *Answer) note(engine *blackboard.Engine) {
+	if a.Running >= 0 {
+		engine.Load.Report(a.Running+a.Waiting, clock.Now())
+	}
+}
+
 // CallError is a call without an answer.
 type CallError struct {
 	// Sent tells that the engine may have received the request.
--- a/relay/server.go
+++ b/relay/server.go
@@ -215,6 +215,7 @@
 		return r.refused(engine, answer)
 	}
 	r.runs++
+	answer.note(engine)
 	if answer.Status >= http.StatusInternalServerError && r.mayRetryAnswer() {
 		r.decision(engine, "retry").Int("status", answer.Status).Msg("engine failed")
 		return result.New(result.UpstreamFailed, result.Answered)
