--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -24,6 +24,9 @@
 const (
 	// tick is the time between two looks at the engines.
 	tick = 40 * time.Millisecond
+	// reserve is the number of slots of an engine that items leave free for online
+	// requests.
+	reserve = 1
 	// startValidity is how old the last reading of the store may be when an item
 	// is started: an engine that leaves, a data centre that is taken out or the
 	// end of a job would be noticed too late.
@@ -380,7 +383,7 @@
 			Daemons: c.board.Roster.Value().Size(), Random: rand.Float64, Tried: p.wasRefused,
 			Homes: c.board.Homes.Value(),
 		},
-		Reserve: placement.Reserve(clock.Since(o.seen), o.head.Due),
+		Reserve: reserve,
 		Rivals:  int(c.board.Rivals.Load()),
 	}
 	engine := placement.ChooseForBatch(c.board.Engines.Value().OfService(service.Name), &query)
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -1,31 +1,6 @@
 package placement
 
-import (
-	"time"
-
-	"github.com/baobablanding/baobablanding/blackboard"
-)
-
-// Slots of an engine that items leave free for online requests, from a job that
-// has much time left to one that is almost due.
-const (
-	relaxedReserve = 3
-	pressedReserve = 2
-	urgentReserve  = 1
-)
-
-// Reserve returns the number of slots of an engine that the items of a job leave
-// free at its age, given how long after its submission it is due.
-func Reserve(age, due time.Duration) int {
-	switch {
-	case age < due*2/5:
-		return relaxedReserve
-	case age < due*3/5:
-		return pressedReserve
-	default:
-		return urgentReserve
-	}
-}
+import "github.com/baobablanding/baobablanding/blackboard"
 
 // BatchQuery is what a batch item asks of an engine.
 type BatchQuery struct {
