--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -28,6 +28,8 @@
 	Jobs Section[*Jobs]
 	// JobsRead is the instant at which the last reading of Jobs was asked for.
 	JobsRead atomic.Int64
+	// storeOffset is the store's clock less this VM's, in ns.
+	storeOffset atomic.Int64
 	// Shares holds the rate limiter of each workspace.
 	Shares Section[*Shares]
 	// Phase is the life cycle of the process.
@@ -48,6 +50,16 @@
 	return b
 }
 
+// SetStoreNow takes in a reading of the store's clock.
+func (b *Entry) SetStoreNow(now time.Duration) {
+	b.storeOffset.Store(int64(now) - int64(clock.Now()))
+}
+
+// StoreNow returns the store's clock as it is now, from the last reading.
+func (b *Entry) StoreNow() time.Duration {
+	return time.Duration(int64(clock.Now()) + b.storeOffset.Load())
+}
+
 // Reading is the last reading of the operators' rows.
 type Reading struct {
 	// Sent is when the reading was asked for: it shows everything that was
--- a/controller/jobs/follow.go
+++ b/controller/jobs/follow.go
@@ -34,6 +34,7 @@
 // applyHeads publishes the heads that a reading shows.
 func (c *Controller) applyHeads(batch store.Batch, sent clock.Instant) {
 	c.board.JobsRead.Store(int64(sent))
+	c.board.SetStoreNow(batch.Now)
 	if len(batch.Rows) == 0 && !batch.Whole {
 		return
 	}
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -3,7 +3,6 @@
 package jobs
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -16,6 +15,7 @@
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/policy/due"
 	"github.com/baobablanding/baobablanding/policy/placement"
 	"github.com/baobablanding/baobablanding/relay"
 	"github.com/baobablanding/baobablanding/store"
@@ -31,6 +31,9 @@
 	// is started: an engine that leaves, a data centre that is taken out or the
 	// end of a job would be noticed too late.
 	startValidity = 1600 * time.Millisecond
+	// claimDelay is how long an owner must be missing before its job is taken over:
+	// a daemon that has just started may own jobs before others know of it.
+	claimDelay = time.Second
 	// trimPause is the time between two takings from one engine, after which the
 	// other daemons know of the first.
 	trimPause = 120 * time.Millisecond
@@ -50,8 +53,10 @@
 	owned    map[job.Key]*owned
 	claiming map[job.Key]bool
 	events   chan func()
-	trimmed  map[string]clock.Instant // by engine: when items were last taken away
+	trimmed  map[string]clock.Instant  // by engine: when items were last taken away
+	orphaned map[job.Key]clock.Instant // when the owner was first found missing
 	running  int
+	runTime  due.RunTime
 	stopping atomic.Bool
 }
 
@@ -59,7 +64,8 @@
 func New(board *blackboard.Entry, s store.Store, engines relay.Engines, self blackboard.Peer, logger *log.Logger) *Controller {
 	return &Controller{
 		board: board, store: s, ledger: job.NewLedger(s), engines: engines, self: self, log: logger,
-		owned: make(map[job.Key]*owned), claiming: make(map[job.Key]bool), events: make(chan func(), 256), trimmed: make(map[string]clock.Instant),
+		owned: make(map[job.Key]*owned), claiming: make(map[job.Key]bool), orphaned: make(map[job.Key]clock.Instant),
+		events: make(chan func(), 256), trimmed: make(map[string]clock.Instant),
 	}
 }
 
@@ -162,6 +168,7 @@
 		p.cancel()
 	}
 	delete(c.owned, o.key)
+	delete(c.orphaned, o.key)
 	c.log.Info().Str("job", o.key.ID).Bool("ended", o.head.Ended).Int("done", len(o.head.Done)).
 		Str("owner", o.head.Owner).Msg("batch job is no longer run here")
 }
@@ -171,6 +178,13 @@
 func (c *Controller) succeeds(key job.Key, head *job.Versioned) bool {
 	roster := c.board.Roster.Value()
 	if !roster.Known || roster.Has(head.Owner) || !roster.Has(c.self.Incarnation) {
+		delete(c.orphaned, key)
+		return false
+	}
+	if c.orphaned[key] == 0 {
+		c.orphaned[key] = clock.Now()
+	}
+	if clock.Since(c.orphaned[key]) < claimDelay {
 		return false
 	}
 	var best string
@@ -320,8 +334,8 @@
 	}
 }
 
-// latest returns up to n items that run at the engine, those that are due last
-// first.
+// latest returns up to n items that run at the engine, in the reverse order
+// of their starts.
 func (c *Controller) latest(engine string, n int) []*progress {
 	var found []*progress
 	for _, o := range c.owned {
@@ -331,15 +345,22 @@
 			}
 		}
 	}
-	slices.SortFunc(found, func(a, b *progress) int { return cmp.Compare(b.job.due(), a.job.due()) })
+	now := c.board.StoreNow()
+	slices.SortFunc(found, func(a, b *progress) int { return due.Compare(c.due(b), c.due(a), now) })
 	return found[:min(n, len(found))]
 }
 
-// due orders jobs: the store's clock at which the results are due.
-func (o *owned) due() time.Duration { return o.head.Submitted + o.head.Due }
+// due returns what the order of the item's job depends on.
+func (c *Controller) due(p *progress) due.Job {
+	head := &p.job.head.Head
+	ran := p.ran
+	if p.cancel != nil {
+		ran += clock.Since(p.started)
+	}
+	return due.Job{Due: head.Submitted + head.Due, Remaining: c.runTime.Remaining(ran)}
+}
 
-// start gives waiting items to engines with room, those that are due first
-// before others.
+// start gives waiting items to engines with room, in the order of package due.
 func (c *Controller) start(ctx context.Context) {
 	if c.stopping.Load() || !c.board.Reading.Value().Within(startValidity, clock.Now()) {
 		return
@@ -350,8 +371,12 @@
 			jobs = append(jobs, o)
 		}
 	}
-	slices.SortFunc(jobs, func(a, b *owned) int { return cmp.Compare(a.due(), b.due()) })
+	now := c.board.StoreNow()
+	slices.SortFunc(jobs, func(a, b *owned) int { return due.Compare(c.due(a.waiting[0]), c.due(b.waiting[0]), now) })
 	for _, o := range jobs {
+		if !c.due(o.waiting[0]).OnTime(now) && c.board.Rivals.Load() > 0 {
+			return // other daemons have items that can end in time
+		}
 		for len(o.waiting) > 0 && c.running < maxRunning {
 			if !c.startItem(ctx, o) {
 				break
@@ -404,11 +429,14 @@
 	o.waiting = nil
 }
 
-// publishDemand shows how many items wait here.
+// publishDemand shows how many items wait here that can end in time.
 func (c *Controller) publishDemand() {
 	waiting := 0
+	now := c.board.StoreNow()
 	for _, o := range c.owned {
-		waiting += len(o.waiting)
+		if len(o.waiting) > 0 && c.due(o.waiting[0]).OnTime(now) {
+			waiting += len(o.waiting)
+		}
 	}
 	if c.board.Demand.Value().Waiting != waiting {
 		c.board.Demand.Publish(blackboard.Demand{Waiting: waiting})
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -33,9 +33,12 @@
 	failed  int      // answers that count as failed attempts
 	refused map[string]clock.Instant
 
-	engine string // where it runs
-	cancel context.CancelFunc
-	cut    bool
+	ran time.Duration // of its runs before this one
+
+	engine  string             // where it runs
+	cancel  context.CancelFunc // nil while it does not run
+	started clock.Instant
+	cut     bool
 }
 
 func newProgress(o *owned, index int) *progress {
@@ -78,14 +81,15 @@
 // run runs the item at the engine, beside the controller.
 func (c *Controller) run(ctx context.Context, p *progress, route *catalog.Route, engine *blackboard.Engine) {
 	ctx, p.cancel = context.WithCancel(ctx)
-	p.engine, p.cut = engine.ID, false
+	p.engine, p.started, p.cut = engine.ID, clock.Now(), false
 	p.job.running[p.index] = p
 	c.running++
 	engine.Load.Batch.Add(1)
+	cancel := p.cancel
 	go func() {
 		end, err := c.exchange(ctx, p, route.Host, engine)
 		engine.Load.Batch.Add(-1)
-		p.cancel()
+		cancel()
 		c.post(context.WithoutCancel(ctx), func() { c.ended(p, route, engine, end, err) })
 	}()
 }
@@ -97,7 +101,9 @@
 	for name, value := range item.Header {
 		header[name] = []string{value}
 	}
-	silence := time.AfterFunc(itemSilence, p.cancel)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(itemSilence, cancel)
 	defer silence.Stop()
 	answer, err := c.engines.Call(ctx, &relay.Call{
 		ID: item.ID, Host: host, Target: item.Path, Method: http.MethodPost, Header: header, Body: item.Body,
@@ -154,12 +160,15 @@
 	o := p.job
 	c.running--
 	delete(o.running, p.index)
+	p.ran += clock.Since(p.started)
+	p.cancel = nil
 	if c.owned[o.key] != o {
 		return
 	}
 	switch end {
 	case completed:
 		engine.Load.Succeeded()
+		c.runTime.Note(p.ran)
 		o.finished = append(o.finished, p.result(job.Completed))
 		return
 	case hopeless:
