--- a/controller/rates/rates.go
+++ b/controller/rates/rates.go
@@ -32,16 +32,16 @@
 	validity = 1200 * time.Millisecond
 	// patience is how long a call of the store may take before requests get
 	// tokens on credit.
-	patience = 120 * time.Millisecond
+	patience = 60 * time.Millisecond
 	// creditTime is the time for which tokens are given on credit at once.
 	creditTime = 150 * time.Millisecond
 	// averageTime is the time over which requests are averaged.
 	averageTime = 1500 * time.Millisecond
 	// minAverageTime is the shortest time over which a rate is measured.
 	minAverageTime = 300 * time.Millisecond
-	// minCreditRate is the number of requests a second that are served on credit
-	// for a workspace without recent requests.
-	minCreditRate = 0.5
+	// evenPart is the part of its even share of the rate that a daemon gives on
+	// credit even if it was given nothing lately.
+	evenPart = 0.5
 	// minWait is the shortest wait for an empty bucket.
 	minWait = 20 * time.Millisecond
 	// maxTries bounds the conflicts with other daemons for one grant.
@@ -125,7 +125,9 @@
 	debt      int           // tokens given on credit and not taken yet
 	asked     int64
 	averaged  clock.Instant
-	perSecond float64
+	perSecond float64 // requests that asked
+	granted   float64 // tokens a second that were given
+	given     int     // tokens since the last average
 	lost      bool
 }
 
@@ -168,6 +170,9 @@
 	weight := 1 - math.Exp(-passed.Seconds()/averageTime.Seconds())
 	a.perSecond += weight * (rate - a.perSecond)
 	a.asked, a.averaged = asked, now
+	given := float64(a.given) / math.Max(passed.Seconds(), minAverageTime.Seconds())
+	a.granted += weight * (given - a.granted)
+	a.given = 0
 }
 
 // refill replaces the share's grant. While the store does not answer, requests
@@ -202,11 +207,13 @@
 }
 
 // giveCredit publishes tokens that were not taken from the bucket. It gives no
-// more than the recent rate of this daemon.
+// more than the daemon was given lately, or a part of its even share: whatever
+// callers ask meanwhile, all daemons together stay near the rate.
 func (a *account) giveCredit(limit bucket.Limit) {
 	unused := a.share.Grant.Value().Close()
 	a.debt -= min(unused, a.debt)
-	rate := math.Max(math.Min(a.perSecond, limit.Rate), minCreditRate)
+	even := limit.Rate / float64(a.board.Roster.Value().Size())
+	rate := math.Max(math.Min(a.granted, limit.Rate), evenPart*even)
 	exact := rate * creditTime.Seconds()
 	tokens := int(exact)
 	if rand.Float64() < exact-float64(tokens) {
@@ -219,9 +226,10 @@
 
 // outcome is the end of an attempt to take tokens.
 type outcome struct {
-	taken int
-	wait  time.Duration // until the next token, if none was taken
-	err   error
+	taken    int
+	returned int
+	wait     time.Duration // until the next token, if none was taken
+	err      error
 }
 
 // take takes tokens from the bucket in the store.
@@ -241,7 +249,7 @@
 		}
 		err := a.commit(ctx, next)
 		if err == nil {
-			return outcome{taken: taken}
+			return outcome{taken: taken, returned: unused}
 		}
 		if !errors.Is(err, store.ErrConflict) {
 			a.known = false
@@ -331,6 +339,7 @@
 		a.share.Grant.Publish(blackboard.NewGrant(0, 0, now.Add(o.wait)))
 		return
 	}
+	a.given += max(o.taken-o.returned, 0)
 	a.share.Grant.Publish(blackboard.NewGrant(tokens, now.Add(validity), 0))
 }
 
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -13,7 +13,7 @@
 const (
 	// tokenWait is how long a request waits for a token of its workspace's rate
 	// that is on the way from the store.
-	tokenWait = 200 * time.Millisecond
+	tokenWait = 120 * time.Millisecond
 	// staleRetry is when a caller should come back to a daemon that has lost the
 	// store.
 	staleRetry = 500 * time.Millisecond
--- a/relay/server.go
+++ b/relay/server.go
@@ -19,7 +19,7 @@
 
 const (
 	// maxQueue is the number of online requests that may wait at an engine.
-	maxQueue = 4
+	maxQueue = 1
 	// maxRefusals bounds the engines that may refuse a request before it is
 	// given up.
 	maxRefusals = 6
