--- a/batch/accept.go
+++ b/batch/accept.go
@@ -11,9 +11,9 @@
 	"github.com/google/uuid"
 
 	"github.com/baobablanding/baobablanding/fleet"
-	"github.com/baobablanding/baobablanding/platform"
 	policy "github.com/baobablanding/baobablanding/policy/batch"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/store"
 	"github.com/baobablanding/baobablanding/timer"
 )
 
@@ -123,7 +123,7 @@
 func (a *acceptance) earlier(ctx context.Context) (*Job, uint64, error) {
 	var r requestRecord
 	version, err := a.s.get(ctx, a.requestKey, &r)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -159,7 +159,7 @@
 		switch {
 		case err == nil:
 			return a.job, nil
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, store.ErrConflict):
 			return a.readBack(ctx, err)
 		}
 	}
@@ -187,7 +187,7 @@
 func (s *Store) enqueue(ctx context.Context, w *opWriter, l *lane, step policy.Rank) error {
 	f := flow{Workspace: l.Workspace, Model: l.Model}
 	version, err := s.get(ctx, flowKey(l.Model, l.Workspace), &f)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	f.Step = step
--- a/batch/accept_test.go
+++ b/batch/accept_test.go
@@ -12,16 +12,16 @@
 	"time"
 
 	"github.com/baobablanding/baobablanding/fleet"
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
 	"github.com/baobablanding/baobablanding/standin"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 const endpoint = "/v1/completions"
 
 // countingObjects measures what passes to the object store.
 type countingObjects struct {
-	platform.Objects
+	store.Objects
 	inputs  atomic.Int64 // chunk inputs that exist
 	largest atomic.Int64 // bytes of the largest chunk input
 }
--- a/batch/claim.go
+++ b/batch/claim.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/baobablanding/baobablanding/platform"
 	policy "github.com/baobablanding/baobablanding/policy/batch"
+	"github.com/baobablanding/baobablanding/store"
 	"github.com/baobablanding/baobablanding/timer"
 )
 
@@ -84,7 +84,7 @@
 
 // takeOver claims the chunk of an ended lease under the next epoch. It removes
 // a lease that outlived its claim.
-func (s *Store) takeOver(ctx context.Context, record *platform.Record, w Worker) (*Claim, error) {
+func (s *Store) takeOver(ctx context.Context, record *store.Record, w Worker) (*Claim, error) {
 	var lease leaseRecord
 	if err := decode(record, &lease); err != nil {
 		return nil, err
@@ -126,7 +126,7 @@
 }
 
 func ignoreConflict(err error) error {
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, store.ErrConflict) {
 		return nil
 	}
 	return storeError(err)
@@ -164,7 +164,7 @@
 // takeNext claims the next chunk of the flow that an order record names. It
 // returns nil if another worker was faster or only a job that has ended was
 // found.
-func (s *Store) takeNext(ctx context.Context, model string, order *platform.Record, w Worker) (*Claim, error) {
+func (s *Store) takeNext(ctx context.Context, model string, order *store.Record, w Worker) (*Claim, error) {
 	var workspace string
 	if err := decode(order, &workspace); err != nil {
 		return nil, err
@@ -202,10 +202,10 @@
 
 // taking is what a worker read of the flow it takes a chunk of.
 type taking struct {
-	order       *platform.Record
+	order       *store.Record
 	flow        flow
 	flowVersion uint64
-	lane        *platform.Record
+	lane        *store.Record
 }
 
 // skip returns the transaction that removes the lane of a job that has ended.
@@ -254,10 +254,10 @@
 	sent := time.Now()
 	c.addLease(ops, sent)
 	err := s.commit(ctx, ops)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return nil, nil
 	}
-	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+	if err != nil && !errors.Is(err, store.ErrUnavailable) {
 		return nil, storeError(err)
 	}
 	c.ValidUntil = sent.Add(c.lease)
@@ -273,7 +273,7 @@
 		var version uint64
 		version, err = s.get(ctx, chunkKey(c.Job, c.Index), &kept)
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, store.ErrNotFound):
 			return nil, nil
 		case err == nil && (kept.Holder != c.Holder || kept.Epoch != c.Epoch):
 			return nil, nil
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 // Renew extends the lease of a claim. It returns ErrLost or ErrCancelled when
@@ -34,7 +34,7 @@
 
 // lostOr tells why a transaction of the claim's holder failed.
 func (s *Store) lostOr(ctx context.Context, c *Claim, err error) error {
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, store.ErrConflict) {
 		return storeError(err)
 	}
 	job, err := s.Job(ctx, "", c.Job)
@@ -54,7 +54,7 @@
 	ops.put(chunkKey(c.Job, c.Index), next, c.version)
 	ops.check(jobKey(c.Job), c.jobVersion)
 	cause := s.commit(ctx, &ops)
-	if cause != nil && !errors.Is(cause, platform.ErrUnavailable) {
+	if cause != nil && !errors.Is(cause, store.ErrUnavailable) {
 		return s.lostOr(ctx, c, cause)
 	}
 	kept, err := s.readClaim(ctx, c)
--- a/batch/files.go
+++ b/batch/files.go
@@ -11,8 +11,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/store"
 	"github.com/baobablanding/baobablanding/timer"
 )
 
@@ -67,7 +67,7 @@
 func (s *Store) File(ctx context.Context, workspace, id string) (File, error) {
 	var f File
 	_, err := s.get(ctx, fileKey(id), &f)
-	if errors.Is(err, platform.ErrNotFound) || (err == nil && f.Workspace != workspace) {
+	if errors.Is(err, store.ErrNotFound) || (err == nil && f.Workspace != workspace) {
 		return f, result.Errorf(result.UnknownFile, "file %q does not exist", id)
 	}
 	if err != nil {
@@ -115,7 +115,7 @@
 // other.
 type resultsReader struct {
 	ctx     context.Context
-	objects platform.Objects
+	objects store.Objects
 	errs    bool
 	chunks  []Chunk
 	current io.ReadCloser
--- a/batch/jobs.go
+++ b/batch/jobs.go
@@ -7,8 +7,8 @@
 	"errors"
 	"time"
 
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/store"
 	"github.com/baobablanding/baobablanding/timer"
 )
 
@@ -23,7 +23,7 @@
 func (s *Store) job(ctx context.Context, workspace, id string) (Job, uint64, error) {
 	var j Job
 	version, err := s.get(ctx, jobKey(id), &j)
-	if errors.Is(err, platform.ErrNotFound) || (err == nil && workspace != "" && j.Workspace != workspace) {
+	if errors.Is(err, store.ErrNotFound) || (err == nil && workspace != "" && j.Workspace != workspace) {
 		return j, 0, result.Errorf(result.UnknownJob, "batch job %q does not exist", id)
 	}
 	if err != nil {
@@ -160,7 +160,7 @@
 	var w opWriter
 	w.put(jobKey(id), job, version)
 	err = s.commit(ctx, &w)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return nil // another worker completed the job, or it was cancelled
 	}
 	if err != nil {
@@ -181,7 +181,7 @@
 			return job, err
 		}
 		err = s.cancel(ctx, job, version)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, store.ErrConflict) {
 			return s.readBackCancel(ctx, workspace, id, err)
 		}
 	}
@@ -192,7 +192,7 @@
 func (s *Store) cancel(ctx context.Context, job Job, version uint64) error {
 	var recent []string
 	listVersion, err := s.get(ctx, cancelledKey, &recent)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	recent = append(recent, job.ID)
@@ -229,7 +229,7 @@
 // since the last call.
 func (s *Store) WorkChanged(ctx context.Context, model string, signal *Signal) (bool, error) {
 	record, err := s.table.GetNewer(ctx, workKey(model), signal.Version)
-	if errors.Is(err, platform.ErrNotModified) || errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotModified) || errors.Is(err, store.ErrNotFound) {
 		return false, nil
 	}
 	if err != nil {
@@ -243,7 +243,7 @@
 // changed since the last call.
 func (s *Store) Cancelled(ctx context.Context, signal *Signal) ([]string, error) {
 	record, err := s.table.GetNewer(ctx, cancelledKey, signal.Version)
-	if errors.Is(err, platform.ErrNotModified) || errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotModified) || errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -259,7 +259,7 @@
 
 // Input returns the lines of a chunk.
 func (s *Store) Input(ctx context.Context, c *Chunk) ([]Item, error) {
-	data, err := platform.ReadObject(ctx, s.objects, inputObject(c.Job, c.Index))
+	data, err := store.ReadObject(ctx, s.objects, inputObject(c.Job, c.Index))
 	if err != nil {
 		return nil, storeError(err)
 	}
--- a/batch/records.go
+++ b/batch/records.go
@@ -6,18 +6,18 @@
 	"errors"
 	"fmt"
 
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 // Store keeps files and jobs in the platform's stores.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 }
 
 // NewStore returns a Store on the platform's services.
-func NewStore(table platform.Table, objects platform.Objects) *Store {
+func NewStore(table store.Table, objects store.Objects) *Store {
 	return &Store{table: table, objects: objects}
 }
 
@@ -31,11 +31,11 @@
 
 // opWriter collects the operations of a transaction.
 type opWriter struct {
-	ops []platform.Op
+	ops []store.Op
 	err error
 }
 
-func (w *opWriter) add(op platform.Op, value any) {
+func (w *opWriter) add(op store.Op, value any) {
 	data, err := json.Marshal(value)
 	if err != nil && w.err == nil {
 		w.err = fmt.Errorf("encode record %s: %w", op.Key, err)
@@ -46,28 +46,28 @@
 
 // put writes a record that has the given version.
 func (w *opWriter) put(key string, value any, version uint64) {
-	w.add(platform.Op{Kind: platform.Put, Key: key, Version: version}, value)
+	w.add(store.Op{Kind: store.Put, Key: key, Version: version}, value)
 }
 
 // putAny writes a record whatever its version.
 func (w *opWriter) putAny(key string, value any) {
-	w.add(platform.Op{Kind: platform.Put, Key: key, Any: true}, value)
+	w.add(store.Op{Kind: store.Put, Key: key, Any: true}, value)
 }
 
 // check requires a record to have the given version.
 func (w *opWriter) check(key string, version uint64) {
-	w.ops = append(w.ops, platform.Op{Kind: platform.Check, Key: key, Version: version})
+	w.ops = append(w.ops, store.Op{Kind: store.Check, Key: key, Version: version})
 }
 
 // remove deletes a record that has the given version.
 func (w *opWriter) remove(key string, version uint64) {
-	w.ops = append(w.ops, platform.Op{Kind: platform.Delete, Key: key, Version: version})
+	w.ops = append(w.ops, store.Op{Kind: store.Delete, Key: key, Version: version})
 }
 
 // removeAny deletes records whatever their versions.
 func (w *opWriter) removeAny(keys ...string) {
 	for _, key := range keys {
-		w.ops = append(w.ops, platform.Op{Kind: platform.Delete, Key: key, Any: true})
+		w.ops = append(w.ops, store.Op{Kind: store.Delete, Key: key, Any: true})
 	}
 }
 
@@ -88,7 +88,7 @@
 	return record.Version, decode(&record, value)
 }
 
-func decode(record *platform.Record, value any) error {
+func decode(record *store.Record, value any) error {
 	if err := json.Unmarshal(record.Value, value); err != nil {
 		return fmt.Errorf("decode record %s: %w", record.Key, err)
 	}
--- a/config/settings.go
+++ b/config/settings.go
@@ -54,8 +54,6 @@
 	Objects string `yaml:"objects"`
 	// VMs is the base address of the VM list.
 	VMs string `yaml:"vms"`
-	// Weights is the base address of the weight store.
-	Weights string `yaml:"weights"`
 	// Timeout bounds one call. The default is 2s.
 	Timeout time.Duration `yaml:"timeout"`
 }
--- a/configstore/store.go
+++ b/configstore/store.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"github.com/baobablanding/baobablanding/fleet"
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 // HeadKey is the key of the head record.
@@ -49,18 +49,18 @@
 
 // Store reads and writes the accepted configuration.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 }
 
 // New returns a Store on the platform's services.
-func New(table platform.Table, objects platform.Objects) *Store {
+func New(table store.Table, objects store.Objects) *Store {
 	return &Store{table: table, objects: objects}
 }
 
 // Head returns the current head and its record version. It returns
-// platform.ErrNotModified while the record still has the known version, and
-// platform.ErrNotFound before the first change.
+// store.ErrNotModified while the record still has the known version, and
+// store.ErrNotFound before the first change.
 func (s *Store) Head(ctx context.Context, known uint64) (Head, uint64, error) {
 	record, err := s.table.GetNewer(ctx, HeadKey, known)
 	if err != nil {
@@ -136,7 +136,7 @@
 func keysName(digest string) string { return "config/keys/" + digest }
 
 func (s *Store) readObject(ctx context.Context, name string, value any) error {
-	data, err := platform.ReadObject(ctx, s.objects, name)
+	data, err := store.ReadObject(ctx, s.objects, name)
 	if err != nil {
 		return fmt.Errorf("read %s: %w", name, err)
 	}
@@ -152,7 +152,7 @@
 // another change was accepted first.
 func (s *Store) Apply(ctx context.Context, change Change) (Head, error) {
 	head, record, err := s.Head(ctx, 0)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return Head{}, storeError(err)
 	}
 	done, err := s.find(ctx, change.Operation)
@@ -179,7 +179,7 @@
 // find returns the head that the operation made, or nil.
 func (s *Store) find(ctx context.Context, operation string) (*Head, error) {
 	record, err := s.table.Get(ctx, operationKey(operation))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -260,9 +260,9 @@
 		return Head{}, fmt.Errorf("encode configuration head: %w", err)
 	}
 	err = s.table.Commit(ctx,
-		platform.Op{Kind: platform.Put, Key: HeadKey, Value: data, Version: record},
-		platform.Op{Kind: platform.Put, Key: operationKey(next.Operation), Value: data},
-		platform.Op{Kind: platform.Put, Key: historyKey(next.Version), Value: data},
+		store.Op{Kind: store.Put, Key: HeadKey, Value: data, Version: record},
+		store.Op{Kind: store.Put, Key: operationKey(next.Operation), Value: data},
+		store.Op{Kind: store.Put, Key: historyKey(next.Version), Value: data},
 	)
 	if err == nil {
 		return next, nil
@@ -277,7 +277,7 @@
 		}
 	case done != nil:
 		return *done, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return Head{}, s.conflict(ctx)
 	default:
 		return Head{}, &result.Error{
--- a/controller/configsync/configsync.go
+++ b/controller/configsync/configsync.go
@@ -12,7 +12,7 @@
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/configstore"
 	"github.com/baobablanding/baobablanding/fleet"
-	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 const (
@@ -102,7 +102,7 @@
 	defer cancel()
 	asked := time.Now()
 	head, record, err := c.store.Head(ctx, c.record)
-	if errors.Is(err, platform.ErrNotModified) || errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotModified) || errors.Is(err, store.ErrNotFound) {
 		c.board.Contact.Publish(blackboard.Contact{StoreRead: asked})
 		return nil
 	}
--- a/controller/dispatch/bench_test.go
+++ b/controller/dispatch/bench_test.go
@@ -21,9 +21,9 @@
 	"github.com/baobablanding/baobablanding/controller/dispatch"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/peer"
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
 	"github.com/baobablanding/baobablanding/standin"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 const (
@@ -256,7 +256,7 @@
 // pausedTable holds every call back while its worker is paused, and counts the
 // acknowledged commits of chunks.
 type pausedTable struct {
-	platform.Table
+	store.Table
 	w *worker
 }
 
@@ -265,16 +265,16 @@
 	defer p.w.pause.RUnlock()
 }
 
-func (p pausedTable) Get(ctx context.Context, key string) (platform.Record, error) {
+func (p pausedTable) Get(ctx context.Context, key string) (store.Record, error) {
 	p.hold()
 	return p.Table.Get(ctx, key)
 }
 
-func (p pausedTable) Commit(ctx context.Context, ops ...platform.Op) error {
+func (p pausedTable) Commit(ctx context.Context, ops ...store.Op) error {
 	p.hold()
 	err := p.Table.Commit(context.WithoutCancel(ctx), ops...)
 	for _, op := range ops {
-		if err == nil && op.Kind == platform.Put && strings.HasPrefix(op.Key, "batch/chunk/") && bytes.Contains(op.Value, []byte(`"done":true`)) {
+		if err == nil && op.Kind == store.Put && strings.HasPrefix(op.Key, "batch/chunk/") && bytes.Contains(op.Value, []byte(`"done":true`)) {
 			p.w.mu.Lock()
 			p.w.commits[op.Key]++
 			p.w.mu.Unlock()
--- a/controller/dispatch/claims_test.go
+++ b/controller/dispatch/claims_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/baobablanding/baobablanding/batch"
 	"github.com/baobablanding/baobablanding/blackboard"
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/standin"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 func TestEveryItemHasOneResultWhenWorkersAreKilled(t *testing.T) {
@@ -221,7 +221,7 @@
 	b.checkOnce(&job, 0)
 }
 
-var _ platform.Table = pausedTable{}
+var _ store.Table = pausedTable{}
 
 // After an outage that outlasts every lease, holders go on with their chunks
 // although idle workers look for work.
--- a/controller/vmlist/vmlist.go
+++ b/controller/vmlist/vmlist.go
@@ -10,7 +10,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/baobablanding/baobablanding/blackboard"
-	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 // pollInterval is the mean time between two readings of the list.
@@ -19,12 +19,12 @@
 // Controller reads the VM list. It writes Board.VMs.
 type Controller struct {
 	board *blackboard.Board
-	vms   platform.VMs
+	vms   store.VMs
 	log   *log.Logger
 }
 
 // New returns a Controller that reads the list from vms.
-func New(board *blackboard.Board, vms platform.VMs, logger *log.Logger) *Controller {
+func New(board *blackboard.Board, vms store.VMs, logger *log.Logger) *Controller {
 	return &Controller{board: board, vms: vms, log: logger}
 }
 
@@ -62,10 +62,10 @@
 	c.board.VMs.Publish(next)
 }
 
-func leaving(list []platform.VM) map[string]bool {
+func leaving(list []store.VM) map[string]bool {
 	names := make(map[string]bool)
 	for _, vm := range list {
-		if vm.State == platform.Leaving {
+		if vm.State == store.Leaving {
 			names[vm.Name] = true
 		}
 	}
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -307,7 +307,7 @@
 
 // runDaemon writes the settings of a daemon and starts it.
 func (f *Fleet) runDaemon(name, programName string, s config.Settings) error {
-	s.Platform = config.PlatformSettings{Table: f.Platform, Objects: f.Platform, VMs: f.Platform, Weights: f.Platform}
+	s.Platform = config.PlatformSettings{Table: f.Platform, Objects: f.Platform, VMs: f.Platform}
 	data, err := config.FormatSettings(&s)
 	if err != nil {
 		return fmt.Errorf("settings of %s: %w", name, err)
--- /dev/null
+++ b/entrytest/fleet_test.go
@@ -0,0 +1,342 @@
+// Package entrytest tests entry daemons against stand-ins of the platform's
+// store and of engines, over the published protocol.
+package entrytest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobablanding/baobablanding/daemon"
+	"github.com/baobablanding/baobablanding/httpserve"
+	"github.com/baobablanding/baobablanding/loopback"
+	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+// object is a JSON object as operators and engines write it.
+type object = map[string]any
+
+// fleet is a store, engines and entry daemons on loopback.
+type fleet struct {
+	t        *testing.T
+	store    *standin.Platform
+	config   object
+	daemons  []*entry
+	keyGrace time.Duration
+}
+
+// entry is a running entry daemon.
+type entry struct {
+	process  daemon.Process
+	settings platform.Settings
+	stopped  bool
+}
+
+const (
+	host   = "caller.example"
+	key    = "key-a"
+	tenant = "workspace-a"
+)
+
+// newFleet starts a store with a configuration of one workspace and four routes.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	store, err := standin.StartPlatform(address(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, store: store, keyGrace: 5 * time.Second}
+	t.Cleanup(f.close)
+	f.config = object{
+		"version": 3,
+		"routes": []object{
+			route("once", "/once/", "streaming", object{"maxAttempts": 1}),
+			route("resume", "/resume/", "streaming", object{"maxAttempts": 3, "resumable": true}),
+			route("repeat", "/repeat/", "retryable", object{"maxAttempts": 3}),
+			route("jobs", "/jobs/", "batch", object{
+				"maxAttempts": 3, "completionTargetMs": 18000, "maxWaitS": 60, "maxCount": 1000,
+			}),
+		},
+		"services": []object{{"name": "svc", "coldPerS": 28, "maxConnections": 100}},
+		"limits":   object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []object{{"name": tenant, "apiKeys": []string{key}, "ratePerS": 500, "burst": 500}},
+	}
+	f.publish()
+	return f
+}
+
+func route(name, prefix, kind string, more object) object {
+	r := object{
+		"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "service": "svc",
+		"timeoutMs": 5000, "targetLatencyMs": 300, "public": false,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	a, err := loopback.Address()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func (f *fleet) close() {
+	for _, d := range f.daemons {
+		if !d.stopped {
+			d.process.Kill()
+		}
+	}
+	f.store.Close()
+}
+
+// put writes a row as operators and engines do.
+func (f *fleet) put(table, key string, value any) {
+	f.t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.store.PutRow(table, "", key, data)
+}
+
+// publish writes the configuration with a new version.
+func (f *fleet) publish() {
+	f.config["version"] = f.config["version"].(int) + 1
+	f.put("op", "config", f.config)
+}
+
+// start starts an entry daemon and waits until it is ready.
+func (f *fleet) start(name string) *entry {
+	f.t.Helper()
+	d := &entry{settings: platform.Settings{
+		Name: name, DataCentre: "dc-1", Front: address(f.t), Readiness: address(f.t), Peer: address(f.t),
+		Metrics: address(f.t), Store: strings.TrimPrefix(f.store.URL(), "http://"), MemoryBytes: 1 << 30,
+		Grace: 8 * time.Second, KeyGrace: f.keyGrace, DrainGrace: 2 * time.Second, ResultRetention: time.Minute,
+	}}
+	process, err := daemon.StartEntry(d.settings, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	d.process = process
+	f.daemons = append(f.daemons, d)
+	eventually(f.t, "daemon is ready", func() bool { return d.ready() })
+	return d
+}
+
+func (d *entry) ready() bool {
+	resp, err := http.Get("http://" + d.settings.Readiness + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// kill ends the daemon without a planned stop.
+func (d *entry) kill() {
+	d.stopped = true
+	d.process.Kill()
+}
+
+const waitTime = 10 * time.Second
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitTime); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", waitTime, what)
+}
+
+// reply is an answer that a daemon gave.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // reading the body
+}
+
+// request is a call of a daemon.
+type request struct {
+	method string
+	path   string
+	id     string
+	key    string
+	body   string
+	header map[string]string
+}
+
+var ids atomic.Int64
+
+// send sends the request to the daemon on a new connection.
+func (d *entry) send(ctx context.Context, t *testing.T, r request) reply {
+	t.Helper()
+	if r.method == "" {
+		r.method = http.MethodPost
+	}
+	if r.id == "" {
+		r.id = fmt.Sprintf("request-%d", ids.Add(1))
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+d.settings.Front+r.path, strings.NewReader(r.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = host
+	req.Close = true
+	req.Header.Set("Request-Id", r.id)
+	if r.key != "" {
+		req.Header.Set("Authorization", "Token "+r.key)
+	}
+	for name, value := range r.header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// behaviour decides how an engine answers one request. The number counts the
+// requests that the engine got.
+type behaviour func(e *engine, w http.ResponseWriter, r *http.Request, number int)
+
+// engine is a stand-in of a model engine as the platform's engines are called.
+type engine struct {
+	t       *testing.T
+	id      string
+	address string
+	events  int // of a whole answer
+	server  *httpserve.Server
+
+	mu       sync.Mutex
+	behave   behaviour
+	requests []*http.Request
+	bodies   []string
+	cut      atomic.Int64 // requests whose connection was closed before their end
+}
+
+// startEngine starts an engine and registers it.
+func (f *fleet) startEngine(id string, behave behaviour) *engine {
+	f.t.Helper()
+	e := &engine{t: f.t, id: id, address: address(f.t), events: 5, behave: behave}
+	server, err := httpserve.Listen(e.address, nil, httpserve.Options{NotFound: http.HandlerFunc(e.serve)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	e.server = server
+	f.t.Cleanup(server.Close)
+	f.register(e, "ready", 0)
+	return e
+}
+
+// register writes the engine's entry.
+func (f *fleet) register(e *engine, state string, coldMs int) {
+	f.put("servers", e.id, object{
+		"service": "svc", "address": e.address, "zone": "dc-1", "version": "v1", "slots": 8, "state": state,
+		"coldLeftMs": coldMs, "sequence": 1, "born": 1000,
+	})
+}
+
+func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.requests = append(e.requests, r.Clone(context.Background()))
+	e.bodies = append(e.bodies, string(body))
+	number, behave := len(e.requests), e.behave
+	e.mu.Unlock()
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Server-Stamp", "stamp-"+e.id)
+	behave(e, w, r, number)
+}
+
+// count returns the number of requests that the engine got.
+func (e *engine) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests)
+}
+
+// request returns the nth request, counted from 0.
+func (e *engine) request(n int) *http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[n]
+}
+
+// firstEvent returns the number of the event at which the answer begins.
+func firstEvent(r *http.Request) int {
+	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 1
+	}
+	return after + 1
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n) }
+
+// stream answers with all events.
+func stream(e *engine, w http.ResponseWriter, r *http.Request, _ int) {
+	streamUntil(e, w, r, e.events, 0)
+}
+
+// streamUntil sends the events up to the last one.
+func streamUntil(_ *engine, w http.ResponseWriter, r *http.Request, last int, pause time.Duration) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	for n := firstEvent(r); n <= last; n++ {
+		if _, err := io.WriteString(w, event(n)); err != nil {
+			return
+		}
+		http.NewResponseController(w).Flush()
+		time.Sleep(pause)
+	}
+}
+
+// cutAfter sends some events and half of the next one, and closes the connection.
+func cutAfter(n int) behaviour {
+	return func(e *engine, w http.ResponseWriter, r *http.Request, _ int) {
+		streamUntil(e, w, r, n, 0)
+		_, _ = io.WriteString(w, event(n + 1)[:7])
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse says that the request was not run.
+func refuse(_ *engine, w http.ResponseWriter, _ *http.Request, _ int) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// whole returns the stream of all events.
+func (e *engine) whole() string {
+	var b strings.Builder
+	for n := 1; n <= e.events; n++ {
+		b.WriteString(event(n))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/entrytest/online_test.go
@@ -0,0 +1,296 @@
+package entrytest
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	f := newFleet(t)
+	e := f.startEngine("i-1", stream)
+	d := f.start("entry-1")
+	got := d.send(t.Context(), t, request{path: "/once/a?b=%2F", id: "r-1", key: key, body: "prompt", header: map[string]string{
+		"Deadline-Ms": "4000", "Model": "m", "Tenant": "somebody-else",
+	}})
+	if got.status != http.StatusOK || got.body != e.whole() || got.header.Get("Server-Stamp") != "stamp-i-1" {
+		t.Fatalf("answer %d %q %v", got.status, got.body, got.header)
+	}
+	r := e.request(0)
+	for name, want := range map[string]string{
+		"Request-Id": "r-1", "Tenant": tenant, "Expect-Instance": "i-1", "Model": "m", "Authorization": "", "User-Agent": "Go-http-client/1.1",
+	} {
+		if name == "User-Agent" {
+			continue // the caller's library sets it
+		}
+		if r.Header.Get(name) != want {
+			t.Errorf("header %s at the engine is %q, want %q", name, r.Header.Get(name), want)
+		}
+	}
+	if r.RequestURI != "/once/a?b=%2F" || r.Host != host || e.bodies[0] != "prompt" {
+		t.Errorf("engine got %s %s %q", r.Host, r.RequestURI, e.bodies[0])
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	f := newFleet(t)
+	e := f.startEngine("i-1", stream)
+	d := f.start("entry-1")
+	for name, c := range map[string]struct {
+		request request
+		status  int
+	}{
+		"no key":       {request{path: "/once/a"}, http.StatusUnauthorized},
+		"unknown key":  {request{path: "/once/a", key: "other"}, http.StatusUnauthorized},
+		"no route":     {request{path: "/nothing/a", key: key}, http.StatusNotFound},
+		"malformed":    {request{path: "/jobs/j", key: key, body: "{"}, http.StatusBadRequest},
+		"no such job":  {request{method: http.MethodGet, path: "/v1/lots/none", key: key}, http.StatusNotFound},
+		"foreign read": {request{method: http.MethodGet, path: "/v1/lots/none", key: "other"}, http.StatusUnauthorized},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := d.send(t.Context(), t, c.request); got.status != c.status {
+				t.Errorf("status %d, want %d: %s", got.status, c.status, got.body)
+			}
+		})
+	}
+	if e.count() != 0 {
+		t.Errorf("engine got %d requests", e.count())
+	}
+}
+
+func TestRefusingEngineIsReplaced(t *testing.T) {
+	f := newFleet(t)
+	full := f.startEngine("i-1", refuse)
+	d := f.start("entry-1")
+	got := d.send(t.Context(), t, request{path: "/once/a", key: key})
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || got.header.Get("Server-Stamp") != "" {
+		t.Errorf("with one full engine: %d %v", got.status, got.header)
+	}
+	other := f.startEngine("i-2", stream)
+	eventually(t, "the other engine serves", func() bool {
+		return d.send(t.Context(), t, request{path: "/once/a", key: key}).status == http.StatusOK
+	})
+	for range 10 {
+		if got := d.send(t.Context(), t, request{path: "/once/a", key: key}); got.body != other.whole() {
+			t.Errorf("answer %d %q", got.status, got.body)
+		}
+	}
+	if full.count() == 0 {
+		t.Error("the full engine was never asked")
+	}
+}
+
+func TestBrokenStreamGoesOnElsewhereOnlyIfItMay(t *testing.T) {
+	f := newFleet(t)
+	first := f.startEngine("i-1", cutAfter(2))
+	d := f.start("entry-1")
+	got := d.send(t.Context(), t, request{path: "/once/a", key: key})
+	if got.status != http.StatusOK || got.err == nil {
+		t.Errorf("broken stream of a route that may not repeat looks complete: %d %q", got.status, got.body)
+	}
+	if n := first.count(); n != 1 {
+		t.Errorf("a request that may run once was sent %d times", n)
+	}
+	second := f.startEngine("i-2", stream)
+	eventually(t, "a stream goes on", func() bool {
+		before := second.count()
+		got := d.send(t.Context(), t, request{path: "/resume/a", key: key})
+		if before == 0 && got.err != nil {
+			return false // the second engine is not known yet
+		}
+		if got.err != nil || got.body != second.whole() {
+			t.Fatalf("stream with events missing or twice: %q %v", got.body, got.err)
+		}
+		return second.count() > before && second.request(second.count()-1).Header.Get("Last-Event-Id") == "2"
+	})
+}
+
+func TestForeignAnswerNeverReachesTheCaller(t *testing.T) {
+	f := newFleet(t)
+	f.startEngine("i-1", func(e *engine, w http.ResponseWriter, r *http.Request, n int) {
+		w.Header().Set("Request-Id", "another")
+		stream(e, w, r, n)
+	})
+	d := f.start("entry-1")
+	got := d.send(t.Context(), t, request{path: "/once/a", key: key})
+	if got.status != http.StatusBadGateway {
+		t.Errorf("status %d, want 502: the request may have run", got.status)
+	}
+}
+
+func TestAnswerOfRepeatableRequestIsRetried(t *testing.T) {
+	f := newFleet(t)
+	behave := func(_ *engine, w http.ResponseWriter, _ *http.Request, n int) {
+		if n == 1 {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = io.WriteString(w, "done")
+	}
+	a, b := f.startEngine("i-1", behave), f.startEngine("i-2", behave)
+	d := f.start("entry-1")
+	eventually(t, "both engines failed once", func() bool {
+		got := d.send(t.Context(), t, request{path: "/repeat/a", key: key})
+		return got.status == http.StatusOK && got.body == "done" && a.count() > 0 && b.count() > 0
+	})
+}
+
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	f := newFleet(t)
+	gone := make(chan time.Time, 1)
+	e := f.startEngine("i-1", func(e *engine, w http.ResponseWriter, r *http.Request, _ int) {
+		streamUntil(e, w, r, 1, 0)
+		<-r.Context().Done()
+		gone <- time.Now()
+	})
+	d := f.start("entry-1")
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		eventually(t, "the engine runs it", func() bool { return e.count() > 0 })
+		leave()
+	}()
+	d.send(ctx, t, request{path: "/once/a", key: key})
+	left := time.Now()
+	select {
+	case at := <-gone:
+		if late := at.Sub(left); late > 400*time.Millisecond {
+			t.Errorf("engine worked on for %v", late)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("engine still works 2s after the caller left")
+	}
+}
+
+func TestRouteTimeoutAnswersAtOnce(t *testing.T) {
+	f := newFleet(t)
+	f.config["routes"].([]object)[0]["timeoutMs"] = 300
+	f.publish()
+	f.startEngine("i-1", func(_ *engine, _ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
+	d := f.start("entry-1")
+	start := time.Now()
+	got := d.send(t.Context(), t, request{path: "/once/a", key: key, header: map[string]string{"Deadline-Ms": "5000"}})
+	if took := time.Since(start); got.status != http.StatusGatewayTimeout || took > 700*time.Millisecond {
+		t.Errorf("status %d after %v, want 504 after 300ms", got.status, took)
+	}
+}
+
+func TestLeavingAndTakenOutEnginesGetNothing(t *testing.T) {
+	f := newFleet(t)
+	e := f.startEngine("i-1", stream)
+	d := f.start("entry-1")
+	serves := func() bool {
+		return d.send(t.Context(), t, request{path: "/once/a", key: key}).status == http.StatusOK
+	}
+	if !serves() {
+		t.Fatal("not served")
+	}
+	f.register(e, "draining", 0)
+	eventually(t, "a draining engine gets nothing", func() bool { return !serves() })
+	f.register(e, "ready", 0)
+	eventually(t, "a ready engine serves", serves)
+	f.put("op", "evacuate/dc-1", object{})
+	eventually(t, "an engine of a data centre that is taken out gets nothing", func() bool { return !serves() })
+	f.store.RemoveRow("op", "", "evacuate/dc-1")
+	eventually(t, "the engine serves again", serves)
+}
+
+func TestUnreadableEntryNamesNoEngine(t *testing.T) {
+	f := newFleet(t)
+	e := f.startEngine("i-1", stream)
+	f.put("servers", "i-2", object{"service": 7})
+	f.put("servers", "i-3", "text")
+	f.put("servers", "i-4", object{"service": "svc", "address": e.address, "zone": "dc-1", "slots": 8, "state": "odd"})
+	d := f.start("entry-1")
+	for range 20 {
+		if got := d.send(t.Context(), t, request{path: "/once/a", key: key}); got.status != http.StatusOK {
+			t.Fatalf("status %d", got.status)
+		}
+	}
+	for n := range e.count() {
+		if id := e.request(n).Header.Get("Expect-Instance"); id != "i-1" {
+			t.Errorf("request for the engine %q", id)
+		}
+	}
+}
+
+func TestWithdrawnKeyStopsEvenWithoutTheStore(t *testing.T) {
+	f := newFleet(t)
+	f.keyGrace = 2 * time.Second
+	e := f.startEngine("i-1", stream)
+	d := f.start("entry-1")
+	send := func() int { return d.send(t.Context(), t, request{path: "/once/a", key: key}).status }
+	if send() != http.StatusOK {
+		t.Fatal("not served")
+	}
+	f.store.Set(standin.Faults{Outage: true})
+	withdrawn := time.Now()
+	for time.Since(withdrawn) < 3*time.Second {
+		before := e.count()
+		sent := time.Since(withdrawn)
+		status := send()
+		if sent > f.keyGrace && e.count() != before {
+			t.Fatalf("request sent %v after the key may be withdrawn ran", sent)
+		}
+		if status != http.StatusOK && status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d without the store, want 503", status)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.store.Set(standin.Faults{})
+	eventually(t, "served again", func() bool { return send() == http.StatusOK })
+	f.config["tenants"].([]object)[0]["apiKeys"] = []string{"key-b"}
+	f.publish()
+	eventually(t, "the withdrawn key is refused", func() bool { return send() == http.StatusUnauthorized })
+}
+
+func TestRateHoldsOverAllDaemons(t *testing.T) {
+	f := newFleet(t)
+	f.config["tenants"].([]object)[0]["ratePerS"] = 20
+	f.config["tenants"].([]object)[0]["burst"] = 10
+	f.publish()
+	e := f.startEngine("i-1", stream)
+	daemons := []*entry{f.start("entry-1"), f.start("entry-2"), f.start("entry-3")}
+	start := time.Now()
+	const length = 2500 * time.Millisecond
+	for time.Since(start) < length {
+		for _, d := range daemons {
+			d.send(t.Context(), t, request{path: "/once/a", key: key})
+		}
+	}
+	allowed := (20*length.Seconds()+10)*1.1 + 20
+	if ran := float64(e.count()); ran > allowed || ran < 0.6*(20*length.Seconds()) {
+		t.Errorf("%v requests ran in %v, want at most %v and most of the rate", ran, length, allowed)
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.startEngine("i-1", func(e *engine, w http.ResponseWriter, r *http.Request, _ int) {
+		streamUntil(e, w, r, e.events, 150*time.Millisecond)
+	})
+	d := f.start("entry-1")
+	replies := make(chan reply, 8)
+	for range cap(replies) {
+		go func() { replies <- d.send(t.Context(), t, request{path: "/once/a", key: key}) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- d.process.Stop(t.Context()) }()
+	eventually(t, "not ready at once", func() bool { return !d.ready() })
+	if got := d.send(t.Context(), t, request{path: "/once/a", key: key}); got.status != http.StatusOK || got.err != nil {
+		t.Errorf("a request that reached the leaving daemon: %d %v", got.status, got.err)
+	}
+	for range cap(replies) {
+		if got := <-replies; got.status != http.StatusOK || got.err != nil {
+			t.Errorf("a running request was cut: %d %v", got.status, got.err)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	d.stopped = true
+}
--- a/fleettest/fleet.go
+++ b/fleettest/fleet.go
@@ -274,7 +274,7 @@
 	}
 	return config.Settings{
 		Name: name, DataCentre: dataCentre, Peer: peerAddress, Metrics: freeAddress(f.t),
-		Platform:    config.PlatformSettings{Table: url, Objects: url, VMs: url, Weights: url, Timeout: platformTimeout},
+		Platform:    config.PlatformSettings{Table: url, Objects: url, VMs: url, Timeout: platformTimeout},
 		ReadTimeout: time.Second, BodyTimeout: 2 * time.Second, Drain: 10 * time.Second, LogLevel: "info",
 	}
 }
--- a/fleettest/upstreams_test.go
+++ b/fleettest/upstreams_test.go
@@ -14,9 +14,9 @@
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/fleettest"
 	"github.com/baobablanding/baobablanding/peer"
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/result"
 	"github.com/baobablanding/baobablanding/standin"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 // load keeps requests running at a fleet.
@@ -129,7 +129,7 @@
 	f := fleettest.Start(t, fleettest.Options{Gateways: 2, Engines: 2})
 	l := startLoad(f, 8, false)
 	defer l.stop()
-	f.Platform.SetVMs([]platform.VM{{Name: "vm-engine-1", State: platform.Leaving}})
+	f.Platform.SetVMs([]store.VM{{Name: "vm-engine-1", State: store.Leaving}})
 	checkNoNewWork(t, f)
 	checkStaleGatewayIsRefused(t, f, result.UpstreamLeaving)
 	if n := l.failed.Load(); n != 0 {
--- a/prooftest/upstreams_test.go
+++ b/prooftest/upstreams_test.go
@@ -15,6 +15,7 @@
 	"github.com/baobablanding/baobablanding/history"
 	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/standin"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 // noNewWorkBound is the longest time from an event until its upstream gets no
@@ -52,7 +53,7 @@
 	{
 		name: "upstream leaving",
 		act: func(t *testing.T, f *devfleet.Fleet) {
-			setVMs(t, f.Platform, []platform.VM{{Name: f.Inventory.Upstreams[0].VM, State: platform.Leaving}})
+			setVMs(t, f.Platform, []store.VM{{Name: f.Inventory.Upstreams[0].VM, State: store.Leaving}})
 		},
 		stopped: func(f *devfleet.Fleet, upstream string) bool { return upstream == f.Inventory.Upstreams[0].Name },
 	},
@@ -84,7 +85,7 @@
 	return view.DataCentreOf(view.Upstream(upstream))
 }
 
-func setVMs(t *testing.T, url string, vms []platform.VM) {
+func setVMs(t *testing.T, url string, vms []store.VM) {
 	t.Helper()
 	data, err := json.Marshal(vms)
 	if err != nil {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -5,11 +5,9 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
+	"path"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +16,7 @@
 
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/store"
 )
 
 // Platform is an in-memory stand-in of the platform's services.
@@ -27,25 +26,18 @@
 	reads  atomic.Int64
 	writes atomic.Int64
 
+	rows *rowStore
+
 	mu      sync.Mutex
-	records map[string]platform.Record
-	version uint64
 	objects map[string][]byte
-	vms     []platform.VM
-
-	weights    sync.Mutex
-	weightTime time.Duration
+	vms     []store.VM
 }
 
-// weightLoadTime is how long the weight store takes for one load.
-const weightLoadTime = 500 * time.Millisecond
-
 // StartPlatform starts the stand-in at the address.
 func StartPlatform(address string) (*Platform, error) {
 	p := &Platform{
-		records:    make(map[string]platform.Record),
-		objects:    make(map[string][]byte),
-		weightTime: weightLoadTime,
+		rows:    newRowStore(),
+		objects: make(map[string][]byte),
 	}
 	server, err := httpserve.Listen(address, p.routes(), httpserve.Options{})
 	if err != nil {
@@ -68,7 +60,7 @@
 func (p *Platform) Calls() (reads, writes int64) { return p.reads.Load(), p.writes.Load() }
 
 // SetVMs replaces the VM list.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []store.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vms = slices.Clone(vms)
@@ -76,76 +68,19 @@
 
 func (p *Platform) routes() []rest.Route {
 	routes := []rest.Route{
-		{Method: http.MethodGet, Path: platform.RecordPath, Handler: p.guard(p.getRecord)},
-		{Method: http.MethodGet, Path: platform.ScanPath, Handler: p.guard(p.scan)},
-		{Method: http.MethodPost, Path: platform.CommitPath, Handler: p.guard(p.commit)},
-		{Method: http.MethodGet, Path: platform.ObjectPath, Handler: p.guard(p.getObject)},
-		{Method: http.MethodPut, Path: platform.ObjectPath, Handler: p.guard(p.putObject)},
-		{Method: http.MethodDelete, Path: platform.ObjectPath, Handler: p.guard(p.deleteObject)},
+		{Method: http.MethodPost, Path: "/v1/rows-tx", Handler: p.guard(p.rowsTx)},
+		{Method: http.MethodGet, Path: "/v1/rows-get", Handler: p.guard(p.rowsGet)},
+		{Method: http.MethodGet, Path: "/v1/rows-parts", Handler: p.guard(p.rowsParts)},
+		{Method: http.MethodGet, Path: "/v1/rows-feed", Handler: p.guard(p.rowsFeed)},
+		{Method: http.MethodGet, Path: "/v1/blob-get/:name", Handler: p.guard(p.getObject)},
+		{Method: http.MethodPut, Path: "/v1/blob-put/:name", Handler: p.guard(p.putObject)},
+		{Method: http.MethodDelete, Path: "/v1/blob-drop/:name", Handler: p.guard(p.deleteObject)},
 		{Method: http.MethodGet, Path: platform.VMsPath, Handler: p.guard(p.listVMs)},
 		{Method: http.MethodPut, Path: platform.VMsPath, Handler: p.putVMs},
-		{Method: http.MethodPost, Path: platform.LoadPath, Handler: p.guard(p.loadWeights)},
 	}
 	return append(routes, p.faultSwitch.routes()...)
 }
 
-func (p *Platform) getRecord(w http.ResponseWriter, r *http.Request) {
-	p.reads.Add(1)
-	p.mu.Lock()
-	record, ok := p.records[r.URL.Query().Get("key")]
-	p.mu.Unlock()
-	known, _ := strconv.ParseUint(r.URL.Query().Get("known"), 10, 64)
-	switch {
-	case !ok:
-		http.Error(w, "no such record", http.StatusNotFound)
-	case known != 0 && record.Version == known:
-		w.WriteHeader(http.StatusNotModified)
-	default:
-		writeJSON(w, http.StatusOK, record)
-	}
-}
-
-func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
-	p.reads.Add(1)
-	q := r.URL.Query()
-	limit, err := strconv.Atoi(q.Get("limit"))
-	if err != nil || limit < 1 {
-		http.Error(w, "bad limit", http.StatusBadRequest)
-		return
-	}
-	writeJSON(w, http.StatusOK, p.find(q.Get("prefix"), q.Get("after"), limit))
-}
-
-func (p *Platform) find(prefix, after string, limit int) []platform.Record {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	found := []platform.Record{}
-	for _, key := range slices.Sorted(maps.Keys(p.records)) {
-		if !strings.HasPrefix(key, prefix) || key <= after {
-			continue
-		}
-		found = append(found, p.records[key])
-		if len(found) == limit {
-			break
-		}
-	}
-	return found
-}
-
-func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
-	p.writes.Add(1)
-	var ops []platform.Op
-	if err := json.NewDecoder(r.Body).Decode(&ops); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if !p.apply(ops) {
-		http.Error(w, "conflict", http.StatusConflict)
-		return
-	}
-	p.answerWrite(w)
-}
-
 // answerWrite acknowledges a write, unless its answer is to be lost.
 func (p *Platform) answerWrite(w http.ResponseWriter) {
 	if p.take(func(f *Faults) *int { return &f.LoseAnswers }) {
@@ -155,31 +90,13 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// apply applies all operations, or none if a condition does not hold.
-func (p *Platform) apply(ops []platform.Op) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, op := range ops {
-		if !op.Any && p.records[op.Key].Version != op.Version {
-			return false
-		}
-	}
-	p.version++
-	for _, op := range ops {
-		switch op.Kind {
-		case platform.Put:
-			p.records[op.Key] = platform.Record{Key: op.Key, Value: op.Value, Version: p.version}
-		case platform.Delete:
-			delete(p.records, op.Key)
-		}
-	}
-	return true
-}
+// objectName returns the name of the object that the request's path ends with.
+func objectName(r *http.Request) string { return path.Base(r.URL.Path) }
 
 func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
 	p.reads.Add(1)
 	p.mu.Lock()
-	data, ok := p.objects[r.URL.Query().Get("name")]
+	data, ok := p.objects[objectName(r)]
 	p.mu.Unlock()
 	if !ok {
 		http.Error(w, "no such object", http.StatusNotFound)
@@ -196,7 +113,7 @@
 		return
 	}
 	p.mu.Lock()
-	p.objects[r.URL.Query().Get("name")] = data
+	p.objects[objectName(r)] = data
 	p.mu.Unlock()
 	p.answerWrite(w)
 }
@@ -204,7 +121,7 @@
 func (p *Platform) deleteObject(w http.ResponseWriter, r *http.Request) {
 	p.writes.Add(1)
 	p.mu.Lock()
-	delete(p.objects, r.URL.Query().Get("name"))
+	delete(p.objects, objectName(r))
 	p.mu.Unlock()
 	p.answerWrite(w)
 }
@@ -218,7 +135,7 @@
 }
 
 func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []store.VM
 	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -227,25 +144,13 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// loadWeights hands out weights, one load at a time.
-func (p *Platform) loadWeights(w http.ResponseWriter, r *http.Request) {
-	if !p.weights.TryLock() {
-		http.Error(w, "weight store is busy", http.StatusTooManyRequests)
-		return
-	}
-	defer p.weights.Unlock()
-	if wait(r, p.weightTime) {
-		w.WriteHeader(http.StatusNoContent)
-	}
-}
-
 // Table returns a client of the stand-in's table.
-func (p *Platform) Table(timeout time.Duration) platform.Table {
+func (p *Platform) Table(timeout time.Duration) store.Table {
 	return platform.NewTable(p.URL(), timeout)
 }
 
 // Objects returns a client of the stand-in's object store.
-func (p *Platform) Objects(timeout time.Duration) platform.Objects {
+func (p *Platform) Objects(timeout time.Duration) store.Objects {
 	return platform.NewObjects(p.URL(), timeout)
 }
 
--- a/platform/platform.go
+++ b/store/records.go
@@ -1,52 +1,47 @@
-// Package platform defines the services that the platform provides: a
-// transactional table, an object store, a VM list and a weight store. It also
-// holds their HTTP clients.
-package platform
+package store
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 )
 
-// Errors of the platform's services.
+// Errors of a Table, of Objects and of VMs.
 var (
 	// ErrNotFound reports a record or object that does not exist.
-	ErrNotFound = errors.New("platform: not found")
-	// ErrConflict reports a transaction whose condition did not hold. Nothing
-	// was written.
-	ErrConflict = errors.New("platform: conflict")
+	ErrNotFound = errors.New("store: not found")
 	// ErrUnavailable reports a call without an answer. A write may have taken
 	// effect.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("store: unavailable")
 	// ErrNotModified reports that a record still has the known version.
-	ErrNotModified = errors.New("platform: not modified")
+	ErrNotModified = errors.New("store: not modified")
 )
 
-// Record is one versioned record of the table.
+// Record is one versioned record of a Table.
 type Record struct {
 	// Key is the record's key.
-	Key string `json:"key"`
+	Key string
 	// Value is the record's content.
-	Value []byte `json:"value"`
+	Value []byte
 	// Version is a number that grows with each write to the table. It is 0 for
 	// a record that does not exist.
-	Version uint64 `json:"version"`
+	Version uint64
 }
 
-// Op is one conditional write of a transaction.
+// Op is one conditional write of a transaction on a Table.
 type Op struct {
 	// Key is the key to write.
-	Key string `json:"key"`
+	Key string
 	// Value is the new content. It is unused for a delete or a check.
-	Value []byte `json:"value,omitempty"`
+	Value []byte
 	// Kind is what to do when the condition holds.
-	Kind OpKind `json:"kind"`
+	Kind OpKind
 	// Version is the version that the record must have; 0 means that it must
 	// not exist.
-	Version uint64 `json:"version"`
+	Version uint64
 	// Any drops the condition.
-	Any bool `json:"any,omitempty"`
+	Any bool
 }
 
 // OpKind is the kind of an Op.
@@ -61,7 +56,7 @@
 	Check OpKind = "check"
 )
 
-// Table is the transactional table service.
+// Table is one table of records, seen without parts.
 type Table interface {
 	// Get returns a record, or ErrNotFound.
 	Get(ctx context.Context, key string) (Record, error)
@@ -75,7 +70,7 @@
 	Commit(ctx context.Context, ops ...Op) error
 }
 
-// Objects is the object store.
+// Objects is an object store.
 type Objects interface {
 	// Put stores an object, replacing an earlier one of the same name.
 	Put(ctx context.Context, name string, body io.Reader) error
@@ -85,6 +80,20 @@
 	Delete(ctx context.Context, name string) error
 }
 
+// ReadObject returns the whole content of an object, or ErrNotFound.
+func ReadObject(ctx context.Context, o Objects, name string) ([]byte, error) {
+	body, err := o.Get(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	defer body.Close()
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return data, nil
+}
+
 // VMState is the state of a VM in the platform's list.
 type VMState string
 
@@ -103,7 +112,7 @@
 	State VMState `json:"state"`
 }
 
-// VMs is the platform's VM list. It lags behind the VMs themselves.
+// VMs is a list of VMs. It lags behind the VMs themselves.
 type VMs interface {
 	// List returns the VMs that the platform knows.
 	List(ctx context.Context) ([]VM, error)
