--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"time"
 
@@ -21,6 +20,8 @@
 	// itemSilence is how long an engine may send nothing of an item before the
 	// item goes on elsewhere.
 	itemSilence = 1500 * time.Millisecond
+	// itemMethod is the method of an item's request.
+	itemMethod = "POST"
 )
 
 // progress is what an item has reached. While it runs, only its goroutine uses
@@ -106,7 +107,7 @@
 	silence := time.AfterFunc(itemSilence, cancel)
 	defer silence.Stop()
 	answer, err := c.engines.Call(ctx, &relay.Call{
-		ID: item.ID, Host: host, Target: item.Path, Method: http.MethodPost, Header: header, Body: item.Body,
+		ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body,
 		Workspace: p.job.key.Workspace, Engine: engine, After: p.last,
 	})
 	if err != nil {
@@ -120,11 +121,11 @@
 	switch {
 	case answer.NotRun || answer.Misdirected:
 		return refused, nil
-	case answer.Status == http.StatusUnprocessableEntity:
+	case answer.Class == relay.Hopeless:
 		return hopeless, nil
-	case answer.Status == http.StatusInternalServerError:
+	case answer.Class == relay.Failed:
 		return failed, nil
-	case answer.Status != http.StatusOK:
+	case answer.Class != relay.Succeeded:
 		return broken, nil
 	}
 	return p.collect(answer, silence)
--- a/imports_test.go
+++ b/imports_test.go
@@ -1,6 +1,8 @@
 package baobablanding_test
 
 import (
+	"errors"
+	"os"
 	"os/exec"
 	"strings"
 	"testing"
@@ -21,14 +23,19 @@
 	module + "config",
 }
 
-// goList runs go list and returns its lines.
+// goList runs go list and returns its words.
 func goList(t *testing.T, args ...string) []string {
+	t.Helper()
+	return strings.Fields(string(goListRaw(t, args...)))
+}
+
+func goListRaw(t *testing.T, args ...string) []byte {
 	t.Helper()
 	out, err := exec.Command("go", append([]string{"list"}, args...)...).Output()
 	if err != nil {
 		t.Fatalf("go list %v: %v", args, err)
 	}
-	return strings.Fields(string(out))
+	return out
 }
 
 func TestNoControllerImportsAnother(t *testing.T) {
@@ -47,7 +54,7 @@
 	for _, name := range decisionImports {
 		forbidden[name] = true
 	}
-	for _, pkg := range goList(t, "./policy/...", "./fleet", "./blackboard") {
+	for _, pkg := range goList(t, "./policy/...", "./fleet", "./blackboard", "./catalog", "./store") {
 		for _, dep := range goList(t, "-f", "{{join .Imports \"\\n\"}}", pkg) {
 			if forbidden[dep] {
 				t.Errorf("decision package %s imports %s", pkg, dep)
@@ -65,3 +72,58 @@
 		}
 	}
 }
+
+// TestOnlyAssemblyKnowsThePlatform checks that the names of the operators'
+// platform stay in package platform.
+func TestOnlyAssemblyKnowsThePlatform(t *testing.T) {
+	allowed := map[string]bool{module + "daemon": true, module + "standin": true, module + "platform": true}
+	for _, line := range strings.Split(strings.TrimSpace(string(goListRaw(t, "-f", "{{.ImportPath}} {{join .Imports \" \"}}", "./..."))), "\n") {
+		fields := strings.Fields(line)
+		for _, dep := range fields[1:] {
+			if dep == module+"platform" && !allowed[fields[0]] {
+				t.Errorf("%s imports package platform", fields[0])
+			}
+		}
+	}
+}
+
+// platformNames are names of the operators' platform that no other package's
+// code may hold.
+var platformNames = []string{
+	"Expect-Instance", "Server-Stamp", "Not-Run", "Deadline-Ms", "apiKeys", "pathPrefix", "trafficSplit", "expectedRevision",
+	"rows-tx", "rows-get", "rows-feed", "blob-put", "dead_letter", "coldLeftMs", "stickySessions", "/v1/lots", "BAOBABLANDING_BOOT",
+}
+
+func TestNamesOfThePlatformStayInItsPackage(t *testing.T) {
+	out, err := exec.Command("git", "ls-files", "--cached", "--others", "--exclude-standard", "*.go").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range strings.Fields(string(out)) {
+		if strings.HasSuffix(file, "_test.go") || strings.HasPrefix(file, "platform/") || strings.HasPrefix(file, "standin/") {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		if errors.Is(err, os.ErrNotExist) {
+			continue // removed and not committed yet
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range platformNames {
+			if strings.Contains(string(data), name) {
+				t.Errorf("%s holds the platform's name %q", file, name)
+			}
+		}
+	}
+}
+
+func TestEntryControllersMeetOnlyOnTheBoard(t *testing.T) {
+	for _, pkg := range goList(t, "./controller/...") {
+		for _, dep := range goList(t, "-f", "{{join .Imports \"\\n\"}}", pkg) {
+			if dep == module+"platform" || dep == module+"daemon" || dep == "net/http" && pkg != module+"controller/dispatch" {
+				t.Errorf("controller %s imports %s", pkg, dep)
+			}
+		}
+	}
+}
--- a/job/ledger.go
+++ b/job/ledger.go
@@ -358,9 +358,12 @@
 
 // results returns as many whole results as one reading holds.
 func (l *Ledger) results(ctx context.Context, key Key, from, to int) ([]Result, error) {
-	reading, err := l.store.Get(ctx, store.Range{
-		Table: resultTable, Part: key.Workspace, From: key.result(from, 0).Name, To: key.result(to, 0).Name,
-	})
+	r := store.Range{Table: resultTable, Part: key.Workspace, From: key.result(from, 0).Name, To: key.result(to, 0).Name}
+	reading, err := l.store.Get(ctx, r)
+	if err == nil && reading.More && chunksOf(key, from, reading.Rows) == len(reading.Rows) {
+		r.To = key.result(from+1, 0).Name // one result that fills more than a reading
+		reading, err = store.GetAll(ctx, l.store, r)
+	}
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/job/ledger_test.go
@@ -0,0 +1,212 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/baobablanding/baobablanding/history/seed"
+	"github.com/baobablanding/baobablanding/result"
+	"github.com/baobablanding/baobablanding/store/storetest"
+)
+
+var testKey = Key{Workspace: "w", ID: "j"}
+
+func submission(id string, n int, tokens int64) *Submission {
+	s := &Submission{Key: Key{Workspace: "w", ID: id}, Route: "r", Owner: "d1", MaxWaiting: 1000}
+	for i := range n {
+		s.Items = append(s.Items, Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/", Tokens: tokens, Body: make([]byte, 20<<10)})
+	}
+	return s
+}
+
+// TestResultsStandOnceInPlace lets two daemons append results of the same items
+// while calls of the store are lost, done late or in conflict.
+func TestResultsStandOnceInPlace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		rows := storetest.New()
+		ledger := NewLedger(rows)
+		const items = 5
+		if err := ledger.Accept(ctx, submission("j", items, 10)); err != nil {
+			t.Fatal(err)
+		}
+		heads := map[string]*Versioned{}
+		read := map[int]Result{}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			owner := rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "owner")
+			rows.Lose = rapid.SampledFrom([]storetest.Loss{storetest.None, storetest.Done, storetest.Late, storetest.Never}).Draw(t, "loss")
+			if heads[owner] == nil {
+				heads[owner] = headOf(t, ledger, rows)
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "action") {
+			case 0:
+				if next, err := ledger.Claim(ctx, testKey, heads[owner], heads[owner].Owner, owner); err == nil {
+					heads[owner] = next
+				} else {
+					heads[owner] = nil
+				}
+			case 1:
+				index := rapid.IntRange(0, items-1).Draw(t, "index")
+				f := Finished{Index: index, Tokens: 10, Result: Result{ID: fmt.Sprintf("j-%d", index), State: Completed, Output: owner}}
+				if next, err := ledger.Append(ctx, testKey, heads[owner], owner, []Finished{f}); err == nil {
+					heads[owner] = next
+				} else {
+					heads[owner] = nil
+				}
+			case 2:
+				rows.FinishLate()
+			}
+			checkResults(t, ledger, rows, read)
+		}
+	})
+}
+
+func headOf(t *rapid.T, ledger *Ledger, rows *storetest.Store) *Versioned {
+	lose := rows.Lose
+	rows.Lose = storetest.None
+	defer func() { rows.Lose = lose }()
+	head, err := ledger.Head(context.Background(), testKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return head
+}
+
+// checkResults checks that no item stands twice and no position changed.
+func checkResults(t *rapid.T, ledger *Ledger, rows *storetest.Store, read map[int]Result) {
+	lose := rows.Lose
+	rows.Lose = storetest.None
+	defer func() { rows.Lose = lose }()
+	head := headOf(t, ledger, rows)
+	page, err := ledger.Results(context.Background(), testKey, head, 0)
+	if err != nil || page.Next != len(head.Done) {
+		t.Fatalf("page up to %d of %d: %v", page.Next, len(head.Done), err)
+	}
+	ids := map[string]bool{}
+	for i, r := range page.Results {
+		if ids[r.ID] {
+			t.Fatalf("item %s has two results", r.ID)
+		}
+		ids[r.ID] = true
+		if old, ok := read[i]; ok && old != r {
+			t.Fatalf("position %d held %v and now %v", i, old, r)
+		}
+		read[i] = r
+	}
+	if want := int64(10 * (head.Total - len(head.Done))); head.Waiting != want {
+		t.Fatalf("%d tokens wait, want %d", head.Waiting, want)
+	}
+}
+
+func TestAcceptanceTellsWhatIsTrue(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		loss    storetest.Loss
+		exists  bool
+		verdict result.Verdict
+	}{
+		{storetest.Never, false, result.NotRun},
+	} {
+		rows := storetest.New()
+		rows.Lose = c.loss
+		err := NewLedger(rows).Accept(ctx, submission("j", 2, 10))
+		rows.Lose = storetest.None
+		_, headErr := NewLedger(rows).Head(ctx, testKey)
+		if exists := headErr == nil; exists != c.exists {
+			t.Errorf("loss %v: job exists: %v", c.loss, exists)
+		}
+		if err == nil || result.From(err).Verdict != c.verdict {
+			t.Errorf("loss %v: %v", c.loss, err)
+		}
+	}
+	rows := storetest.New()
+	rows.Lose = storetest.Done
+	if err := NewLedger(rows).Accept(ctx, submission("j", 2, 10)); err != nil {
+		t.Errorf("a job whose acceptance took effect without an answer: %v", err)
+	}
+}
+
+func TestWaitingTokensAreBoundedUnderRaces(t *testing.T) {
+	ctx := context.Background()
+	rows := storetest.New()
+	ledger := NewLedger(rows)
+	// Another job is accepted between the reading and the transaction.
+	rows.BeforeCommit = func() {
+		rows.BeforeCommit = nil
+		if err := ledger.Accept(ctx, submission("other", 6, 100)); err != nil {
+			t.Error(err)
+		}
+	}
+	err := ledger.Accept(ctx, submission("j", 6, 100))
+	if result.CodeOf(err) != result.TooManyTokens {
+		t.Errorf("the second of two jobs that only fit alone: %v", err)
+	}
+}
+
+func TestLargeItemsAndResultsAreReadWhole(t *testing.T) {
+	ctx := context.Background()
+	rows := storetest.New()
+	ledger := NewLedger(rows)
+	if err := ledger.Accept(ctx, submission("j", 8, 10)); err != nil {
+		t.Fatal(err)
+	}
+	head, err := ledger.Head(ctx, testKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if head.Chunks < 2 {
+		t.Errorf("items of 160 KB are in %d rows", head.Chunks)
+	}
+	items, err := ledger.Items(ctx, testKey, head.Chunks)
+	if err != nil || len(items) != 8 || len(items[7].Body) != 20<<10 {
+		t.Fatalf("%d items: %v", len(items), err)
+	}
+	output := string(make([]byte, 100<<10))
+	for i := range 8 {
+		f := []Finished{{Index: i, Tokens: 10, Result: Result{ID: items[i].ID, State: Completed, Output: output}}}
+		if head, err = ledger.Append(ctx, testKey, head, "d1", f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var all []Result
+	for len(all) < 8 {
+		page, err := ledger.Results(ctx, testKey, head, len(all))
+		if err != nil || len(page.Results) == 0 {
+			t.Fatalf("%d results: %v", len(all), err)
+		}
+		all = append(all, page.Results...)
+	}
+	for i, r := range all {
+		if r.ID != items[i].ID || r.Output != output {
+			t.Errorf("position %d holds %s with %d bytes", i, r.ID, len(r.Output))
+		}
+	}
+}
+
+func TestEndedJobTakesNoResults(t *testing.T) {
+	ctx := context.Background()
+	rows := storetest.New()
+	ledger := NewLedger(rows)
+	if err := ledger.Accept(ctx, submission("j", 2, 10)); err != nil {
+		t.Fatal(err)
+	}
+	head, err := ledger.Head(ctx, testKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := ledger.End(ctx, testKey); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next, err := ledger.Append(ctx, testKey, head, "d1", []Finished{{Result: Result{ID: "j-0", State: Completed}}})
+	if err != nil || len(next.Done) != 0 || !next.Ended {
+		t.Errorf("after the end: %+v %v", next, err)
+	}
+	if _, err := ledger.Head(ctx, Key{Workspace: "w", ID: "none"}); result.CodeOf(err) != result.UnknownJob {
+		t.Errorf("unknown job: %v", err)
+	}
+}
--- /dev/null
+++ b/policy/placement/placement_test.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+)
+
+func newEngine(id string, online, batch int64) *blackboard.Engine {
+	e := &blackboard.Engine{
+		Engine: &catalog.Engine{ID: id, Service: "svc", DataCentre: "dc-1", Slots: 8},
+		Load:   new(blackboard.EngineLoad),
+	}
+	e.Load.Online.Store(online)
+	e.Load.Batch.Store(batch)
+	return e
+}
+
+func query() *Query {
+	return &Query{DataCentre: "dc-1", Now: clock.Now(), Daemons: 4, ColdRate: 8, MaxQueue: 1, Random: func() float64 { return 0.5 }}
+}
+
+func TestLeastLoadedEngineIsChosen(t *testing.T) {
+	engines := []*blackboard.Engine{newEngine("a", 5, 0), newEngine("b", 2, 0), newEngine("c", 3, 0)}
+	if got := Choose(engines, query()); got != engines[1] {
+		t.Errorf("chose %v", got.ID)
+	}
+}
+
+func TestEnginesThatMayNotBeChosen(t *testing.T) {
+	now := clock.Now()
+	for name, change := range map[string]func(*blackboard.Engine){
+		"draining":  func(e *blackboard.Engine) { e.Draining = true },
+		"taken out": func(e *blackboard.Engine) { e.Out = true },
+		"full":      func(e *blackboard.Engine) { e.Load.Online.Store(9) },
+		"cold": func(e *blackboard.Engine) {
+			e.ColdUntil = now.Add(1e12)
+			e.Load.NextCold.Store(int64(now) + 1e12)
+		},
+	} {
+		e := newEngine("a", 0, 0)
+		change(e)
+		if got := Choose([]*blackboard.Engine{e}, query()); got != nil {
+			t.Errorf("an engine that is %s was chosen", name)
+		}
+	}
+}
+
+func TestFailedEngineIsTheLastResort(t *testing.T) {
+	failed, busy := newEngine("a", 0, 0), newEngine("b", 8, 0)
+	failed.Load.Failed(clock.Now())
+	if got := Choose([]*blackboard.Engine{failed, busy}, query()); got != busy {
+		t.Error("an engine that just failed was preferred")
+	}
+	if got := Choose([]*blackboard.Engine{failed}, query()); got != failed {
+		t.Error("the only engine was not chosen")
+	}
+}
+
+// TestColdEngineGetsItsRateFromAllDaemons lets four daemons send as much as they
+// may to one cold engine.
+func TestColdEngineGetsItsRateFromAllDaemons(t *testing.T) {
+	start := clock.Now()
+	sent := 0
+	for range 4 {
+		e := newEngine("a", 0, 0)
+		e.ColdUntil = start.Add(1e12)
+		for ms := range 1000 {
+			q := query()
+			q.Now = start + clock.Instant(ms+1)*1e6
+			if Choose([]*blackboard.Engine{e}, q) != nil {
+				sent++
+			}
+		}
+	}
+	if sent == 0 || sent > 12 {
+		t.Errorf("a cold engine that bears 8 requests a second got %d", sent)
+	}
+}
+
+func TestDaemonsHaveDifferentHomes(t *testing.T) {
+	var engines []*blackboard.Engine
+	for i := range 14 {
+		engines = append(engines, newEngine(fmt.Sprintf("i-%02d", i), 0, 0))
+	}
+	var peers []blackboard.Peer
+	for i := range 7 {
+		peers = append(peers, blackboard.Peer{Name: fmt.Sprint(i), Incarnation: fmt.Sprint(i), DataCentre: "dc-1"})
+	}
+	owners := make(map[string]int)
+	for _, self := range peers {
+		homes := Homes(engines, &blackboard.Roster{Self: self, Peers: peers})
+		if len(homes) != 2 {
+			t.Errorf("daemon %s has %d homes", self.Name, len(homes))
+		}
+		for id := range homes {
+			owners[id]++
+		}
+	}
+	for _, e := range engines {
+		if owners[e.ID] != 1 {
+			t.Errorf("engine %s is the home of %d daemons", e.ID, owners[e.ID])
+		}
+	}
+}
+
+func TestItemsLeaveASlotFree(t *testing.T) {
+	e := newEngine("a", 3, 4)
+	q := &BatchQuery{Query: *query(), Reserve: 1}
+	q.Homes = map[string]bool{"a": true}
+	if got := ChooseForBatch([]*blackboard.Engine{e}, q); got != nil {
+		t.Error("an item took the last slot")
+	}
+	e.Load.Batch.Store(3)
+	if got := ChooseForBatch([]*blackboard.Engine{e}, q); got != e {
+		t.Error("an engine with two free slots got no item")
+	}
+}
+
+func TestExcessIsSharedByTheDaemonsThatHaveItems(t *testing.T) {
+	e := newEngine("a", 6, 2)
+	e.Load.PeerOnline.Store(1)
+	e.Load.PeerBatch.Store(2)
+	sum := 0
+	for i := range 100 {
+		sum += Excess(e, float64(i)/100)
+	}
+	if mean := float64(sum) / 100; mean < 1.4 || mean > 1.6 {
+		t.Errorf("a daemon with half of the items takes %v of 3 away, want 1.5", mean)
+	}
+	e.Load.Online.Store(1)
+	if n := Excess(e, 0); n != 0 {
+		t.Errorf("%d items are taken from an engine with free slots", n)
+	}
+}
+
+func TestEngineThatReportsMoreIsBusier(t *testing.T) {
+	e := newEngine("a", 1, 0)
+	e.Load.Report(7, clock.Now())
+	if e.Busy() != 7 {
+		t.Errorf("busy %d, want 7", e.Busy())
+	}
+	e.Load.Report(7, clock.Now().Add(-1e9))
+	if e.Busy() != 1 {
+		t.Errorf("an old report counts: busy %d", e.Busy())
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -62,9 +62,27 @@
 	After int64
 }
 
+// Class is what an engine's answer means.
+type Class int
+
+const (
+	// Succeeded answers carry what was asked for.
+	Succeeded Class = iota
+	// Failed answers tell that the engine failed at the request.
+	Failed
+	// Unavailable answers tell that the engine did not get it done.
+	Unavailable
+	// Hopeless answers tell that no engine can ever do it.
+	Hopeless
+	// Rejected answers tell that the request itself was wrong.
+	Rejected
+)
+
 // Answer is an engine's answer.
 type Answer struct {
+	// Status is passed on unread.
 	Status int
+	Class  Class
 	Header Header
 	// NotRun tells that the engine did not run the request.
 	NotRun bool
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/phuslu/log"
@@ -216,7 +215,7 @@
 	}
 	r.runs++
 	answer.note(engine)
-	if answer.Status >= http.StatusInternalServerError && r.mayRetryAnswer() {
+	if (answer.Class == Failed || answer.Class == Unavailable) && r.mayRetryAnswer() {
 		r.decision(engine, "retry").Int("status", answer.Status).Msg("engine failed")
 		return result.New(result.UpstreamFailed, result.Answered)
 	}
@@ -297,7 +296,7 @@
 
 // pass hands the answer to the sink.
 func (r *run) pass(answer *Answer, watch *time.Timer) error {
-	if answer.Events && answer.Status == http.StatusOK {
+	if answer.Events && answer.Class == Succeeded {
 		return r.passEvents(answer, watch)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
