--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -24,6 +24,7 @@
 	"github.com/baobablanding/baobablanding/controller/roster"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/logbudget"
 	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/relay"
 	"github.com/baobablanding/baobablanding/timer"
@@ -73,16 +74,16 @@
 	return runProcess(logger, settings.Grace-stopMargin, func() (Process, error) { return StartEntry(settings, logger) })
 }
 
-// newEntryLogger returns a logger that writes JSON lines to standard output. It
-// drops lines rather than wait for a slow reader.
+// newEntryLogger returns a logger that writes a bounded number of JSON lines a
+// second to standard output. It drops lines rather than wait for a slow reader.
 func newEntryLogger(settings platform.Settings) *log.Logger {
 	return &log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: time.RFC3339Nano,
 		Context:    log.NewContext(nil).Str("name", settings.Name).Value(),
-		Writer: &log.AsyncWriter{
+		Writer: logbudget.New(&log.AsyncWriter{
 			ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout},
-		},
+		}),
 	}
 }
 
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -100,7 +100,7 @@
 			return nil
 		}
 		if next, empty := snap.Value.Exhausted(now); empty {
-			return rateExceeded(next.Sub(now))
+			return rateExceeded(w, "the shared bucket is empty", next.Sub(now))
 		}
 		if timeout == nil {
 			timer := time.NewTimer(tokenWait)
@@ -110,15 +110,16 @@
 		select {
 		case <-snap.Changed():
 		case <-timeout:
-			return rateExceeded(minRateRetry)
+			return rateExceeded(w, "no token came from the store in time", minRateRetry)
 		case <-ctx.Done():
 			return result.New(result.CallerGone, result.NotRun)
 		}
 	}
 }
 
-func rateExceeded(wait time.Duration) error {
-	return result.New(result.RateExceeded, result.NotRun).After(max(wait, minRateRetry))
+func rateExceeded(w *catalog.Workspace, why string, wait time.Duration) error {
+	return result.Errorf(result.RateExceeded, "workspace %s, rate %g/s, burst %g: %s", w.Name, w.Rate, w.Burst, why).
+		After(max(wait, minRateRetry))
 }
 
 // candidates returns the service that the route picks and its engines.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -1,18 +1,54 @@
 package relay
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/baobablanding/baobablanding/result"
+)
+
+// servedResult is the label of requests that an engine answered.
+const servedResult = "served"
 
 // Metrics counts what the server does.
 type Metrics struct {
-	retries prometheus.Counter
+	requests   *prometheus.CounterVec // by result
+	retries    prometheus.Counter
+	admission  prometheus.Histogram // seconds
+	firstEvent prometheus.Histogram // seconds
 }
 
 // NewMetrics registers the metrics.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
-	m := &Metrics{retries: prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "baobab_relay_retries_total",
-		Help: "Attempts after the first one of a request.",
-	})}
-	reg.MustRegister(m.retries)
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "baobab_relay_requests_total",
+			Help: "Requests by the name of their result code, or served.",
+		}, []string{"result"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "baobab_relay_retries_total",
+			Help: "Attempts after the first one of a request.",
+		}),
+		admission: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "baobab_relay_admission_seconds",
+			Help:    "Time until the workspace's rate admitted a request.",
+			Buckets: []float64{0.001, 0.01, 0.03, 0.1, 0.3},
+		}),
+		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "baobab_relay_first_event_seconds",
+			Help:    "Time from a request to the beginning of its answer.",
+			Buckets: []float64{0.03, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1, 2, 5},
+		}),
+	}
+	reg.MustRegister(m.requests, m.retries, m.admission, m.firstEvent)
 	return m
 }
+
+func (m *Metrics) served(admission, firstEvent time.Duration) {
+	m.requests.WithLabelValues(servedResult).Inc()
+	m.admission.Observe(admission.Seconds())
+	m.firstEvent.Observe(firstEvent.Seconds())
+}
+
+func (m *Metrics) refused(code result.Code) { m.requests.WithLabelValues(code.String()).Inc() }
--- a/relay/server.go
+++ b/relay/server.go
@@ -90,12 +90,15 @@
 	err = r.attempts(ctx)
 	if err == nil {
 		r.served()
+	} else if r.started {
+		s.Refused(req.ID, err)
 	}
 	return r.started, err
 }
 
 // served logs the request's way to its answer.
 func (r *run) served() {
+	r.server.metrics.served(r.admitted.Sub(r.Received), r.first.Sub(r.Received))
 	r.server.log.Info().Str("request", r.ID).Str("workspace", r.WorkspaceName()).Str("route", r.Route.Name).
 		Strs("engines", r.tried).Int("engine_online", r.online).Int("engine_busy", r.busy).
 		Int("reported_running", r.running).Int("reported_waiting", r.waiting).
@@ -368,9 +371,10 @@
 	return r.write(data)
 }
 
-// Refused logs a request that got no answer of an engine.
+// Refused logs a request that got no whole answer of an engine.
 func (s *Server) Refused(id string, err error) {
 	e := result.From(err)
-	s.log.Info().Str("request", id).Str("result", e.Code.String()).Int("code", int(e.Code)).Str("verdict", e.Verdict.String()).
-		Dur("reading_age", clock.Since(s.board.Reading.Value().Sent)).Msg("request was not served")
+	s.metrics.refused(e.Code)
+	s.log.Warn().Str("request", id).Str("result", e.Code.String()).Int("code", int(e.Code)).Str("verdict", e.Verdict.String()).
+		Dur("reading_age", clock.Since(s.board.Reading.Value().Sent)).Int64("reading_version", s.board.Reading.Value().Version).Str("detail", e.Text()).Msg("request was not served")
 }
