--- a/blackboard/engines.go
+++ b/blackboard/engines.go
@@ -59,7 +59,8 @@
 func (e *Engine) Busy() int {
 	l := e.Load
 	known := l.Online.Load() + l.Batch.Load() + l.PeerOnline.Load() + l.PeerBatch.Load()
-	return int(max(known, l.Reported(clock.Now())))
+	now := clock.Now()
+	return int(max(known, l.Own.Requests(now), l.Peers.Requests(now)))
 }
 
 // OnlineBusy returns the number of online requests at the engine as far as it is
@@ -76,8 +77,9 @@
 	// PeerOnline and PeerBatch are those of the other daemons, as they reported
 	// them last.
 	PeerOnline, PeerBatch atomic.Int64
-	// reported is what the engine reported last, and reportedAt when.
-	reported, reportedAt atomic.Int64
+	// Own is what the engine reported to this daemon, Peers what it reported to
+	// another one that told of it.
+	Own, Peers EngineReport
 	// Failures counts the failures since the last success.
 	Failures atomic.Int64
 	// AvoidUntil is the instant until which the engine is avoided after a
@@ -91,18 +93,23 @@
 // reportValidity is how long the engine's own report of its load counts.
 const reportValidity = 300 * time.Millisecond
 
-// Report notes how many requests the engine said that it has.
-func (l *EngineLoad) Report(requests int, now clock.Instant) {
-	l.reported.Store(int64(requests))
-	l.reportedAt.Store(int64(now))
+// EngineReport is the load that an engine reported a moment ago.
+type EngineReport struct {
+	requests, at atomic.Int64
 }
 
-// Reported returns the engine's own report, or 0 if it is too old.
-func (l *EngineLoad) Reported(now clock.Instant) int64 {
-	if now.Sub(clock.Instant(l.reportedAt.Load())) > reportValidity {
+// Set notes how many requests the engine said that it has.
+func (r *EngineReport) Set(requests int64, now clock.Instant) {
+	r.requests.Store(requests)
+	r.at.Store(int64(now))
+}
+
+// Requests returns the number of requests, or 0 if the report is too old.
+func (r *EngineReport) Requests(now clock.Instant) int64 {
+	if now.Sub(clock.Instant(r.at.Load())) > reportValidity {
 		return 0
 	}
-	return l.reported.Load()
+	return r.requests.Load()
 }
 
 // Times for which an engine is avoided after failures.
--- a/controller/directory/directory.go
+++ b/controller/directory/directory.go
@@ -20,10 +20,10 @@
 
 const (
 	// pollInterval is the time between two readings.
-	pollInterval = 400 * time.Millisecond
+	pollInterval = 600 * time.Millisecond
 	// outageAfter is how old the last reading is when the store counts as
 	// having been away.
-	outageAfter = 1500 * time.Millisecond
+	outageAfter = 1800 * time.Millisecond
 	// returnTime is how long an entry that lapsed during an outage of the store
 	// may take to come back.
 	returnTime = 2 * time.Second
--- a/controller/jobs/follow.go
+++ b/controller/jobs/follow.go
@@ -14,7 +14,7 @@
 )
 
 // pollInterval is the time between two readings of the jobs' heads.
-const pollInterval = 300 * time.Millisecond
+const pollInterval = 450 * time.Millisecond
 
 // RunFollower follows the heads of all jobs until ctx is done.
 func (c *Controller) RunFollower(ctx context.Context) {
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -30,7 +30,7 @@
 	// startValidity is how old the last reading of the store may be when an item
 	// is started: an engine that leaves, a data centre that is taken out or the
 	// end of a job would be noticed too late.
-	startValidity = 1600 * time.Millisecond
+	startValidity = 1800 * time.Millisecond
 	// claimDelay is how long an owner must be missing before its job is taken over:
 	// a daemon that has just started may own jobs before others know of it.
 	claimDelay = time.Second
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -89,9 +89,39 @@
 	if old != nil && old.Sequence >= r.Sequence {
 		return
 	}
+	if old == nil {
+		old = new(report)
+	}
+	c.add(old.Engines, r.Engines)
 	c.reports[r.From] = &report{LoadReport: r, at: clock.Now()}
 }
 
+// add changes the engines' loads by the difference between two reports of one
+// daemon, so that the newer one counts at once.
+func (c *Controller) add(before, now map[string][3]int64) {
+	engines := c.board.Engines.Value()
+	at := clock.Now()
+	for id, counts := range now {
+		e := engines.ByID(id)
+		if e == nil {
+			continue
+		}
+		e.Load.PeerOnline.Add(counts[0] - before[id][0])
+		e.Load.PeerBatch.Add(counts[1] - before[id][1])
+		if counts[2] > 0 {
+			e.Load.Peers.Set(counts[2], at)
+		}
+	}
+	for id, counts := range before {
+		if _, still := now[id]; !still {
+			if e := engines.ByID(id); e != nil {
+				e.Load.PeerOnline.Add(-counts[0])
+				e.Load.PeerBatch.Add(-counts[1])
+			}
+		}
+	}
+}
+
 // RunSender sends a report at regular intervals and adds up those of the others,
 // until ctx is done.
 func (c *Controller) RunSender(ctx context.Context) {
@@ -120,7 +150,8 @@
 	}
 }
 
-// sum adds up the reports of the daemons that run.
+// sum adds up the reports of the daemons that run, which drops those of daemons
+// that do not.
 func (c *Controller) sum(roster *blackboard.Roster) {
 	now := clock.Now()
 	online, batch := make(map[string]int64), make(map[string]int64)
@@ -139,15 +170,16 @@
 			batch[id] += counts[1]
 		}
 	}
-	c.mu.Unlock()
 	for _, e := range c.board.Engines.Value().All {
 		e.Load.PeerOnline.Store(online[e.ID])
 		e.Load.PeerBatch.Store(batch[e.ID])
 	}
+	c.mu.Unlock()
 	c.board.Rivals.Store(int64(waiting))
 }
 
-func (c *Controller) send(roster *blackboard.Roster, sequence int64) {
+// report returns what this daemon tells the others.
+func (c *Controller) report(roster *blackboard.Roster, sequence int64) peer.LoadReport {
 	now := clock.Now()
 	r := peer.LoadReport{
 		From:     roster.Self.Incarnation,
@@ -156,12 +188,17 @@
 		Engines:  make(map[string][3]int64),
 	}
 	for _, e := range c.board.Engines.Value().All {
-		counts := [3]int64{e.Load.Online.Load(), e.Load.Batch.Load(), e.Load.Reported(now)}
+		counts := [3]int64{e.Load.Online.Load(), e.Load.Batch.Load(), e.Load.Own.Requests(now)}
 		if counts != [3]int64{} {
 			r.Engines[e.ID] = counts
 		}
 	}
-	data, err := peer.EncodeLoadReport(r)
+	return r
+}
+
+// send tells the other daemons.
+func (c *Controller) send(roster *blackboard.Roster, sequence int64) {
+	data, err := peer.EncodeLoadReport(c.report(roster, sequence))
 	if err != nil {
 		c.log.Error().Err(err).Msg("load report cannot be encoded")
 		return
--- /dev/null
+++ b/controller/loads/loads_test.go
@@ -0,0 +1,78 @@
+package loads
+
+import (
+	"io"
+	"testing"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/peer"
+)
+
+// newPair returns a controller on a board with one engine and a peer.
+func newPair() (*Controller, *blackboard.Engine) {
+	board := blackboard.NewEntry()
+	e := &blackboard.Engine{Engine: &catalog.Engine{ID: "i-1", Slots: 8}, Load: new(blackboard.EngineLoad)}
+	board.Engines.Publish(blackboard.NewEngines([]*blackboard.Engine{e}))
+	self, other := blackboard.Peer{Incarnation: "self"}, blackboard.Peer{Incarnation: "other"}
+	board.Roster.Publish(&blackboard.Roster{Self: self, Peers: []blackboard.Peer{self, other}, Known: true})
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	return New(board, nil, logger), e
+}
+
+func loadReport(sequence int64, counts [3]int64) peer.LoadReport {
+	return peer.LoadReport{From: "other", Sequence: sequence, Engines: map[string][3]int64{"i-1": counts}}
+}
+
+func TestReportsOfPeersCountOnceAndAtOnce(t *testing.T) {
+	c, e := newPair()
+	c.take(loadReport(1, [3]int64{3, 2, 0}))
+	if e.Busy() != 5 {
+		t.Errorf("busy %d, want 5", e.Busy())
+	}
+	c.take(loadReport(3, [3]int64{1, 0, 0}))
+	c.take(loadReport(2, [3]int64{7, 7, 0})) // overtaken
+	if e.Busy() != 1 {
+		t.Errorf("busy %d, want 1", e.Busy())
+	}
+	c.sum(c.board.Roster.Value())
+	if e.Busy() != 1 {
+		t.Errorf("busy %d after the sum, want 1", e.Busy())
+	}
+	c.take(peer.LoadReport{From: "other", Sequence: 4})
+	if e.Busy() != 0 {
+		t.Errorf("busy %d, want 0", e.Busy())
+	}
+}
+
+func TestDaemonThatLeftDoesNotCount(t *testing.T) {
+	c, e := newPair()
+	c.take(loadReport(1, [3]int64{3, 2, 0}))
+	roster := *c.board.Roster.Value()
+	roster.Peers = roster.Peers[:1]
+	c.sum(&roster)
+	if e.Busy() != 0 {
+		t.Errorf("busy %d, want 0", e.Busy())
+	}
+}
+
+// TestReportsOfEnginesDoNotCirculate checks that a daemon tells only what an
+// engine reported to it itself: otherwise two daemons would keep an old report
+// alive by telling each other.
+func TestReportsOfEnginesDoNotCirculate(t *testing.T) {
+	c, e := newPair()
+	c.take(loadReport(1, [3]int64{0, 0, 8}))
+	if e.Busy() != 8 {
+		t.Errorf("busy %d, want 8", e.Busy())
+	}
+	if told := c.report(c.board.Roster.Value(), 1); len(told.Engines) != 0 {
+		t.Errorf("daemon passes on what it was told: %v", told.Engines)
+	}
+	e.Load.Own.Set(6, clock.Now())
+	if told := c.report(c.board.Roster.Value(), 2); told.Engines["i-1"][2] != 6 {
+		t.Errorf("daemon does not tell what the engine reported: %v", told.Engines)
+	}
+}
--- a/controller/rates/rates.go
+++ b/controller/rates/rates.go
@@ -26,10 +26,6 @@
 const bucketRow = "bucket"
 
 const (
-	// horizon is how long the tokens of one grant should last.
-	horizon = time.Second
-	// validity is how long tokens may be used.
-	validity = 1200 * time.Millisecond
 	// patience is how long a call of the store may take before requests get
 	// tokens on credit.
 	patience = 60 * time.Millisecond
@@ -187,14 +183,14 @@
 	if grant := a.share.Grant.Value(); grant.Expired(clock.Now()) {
 		unused = grant.Close()
 	}
-	want := bucket.Want(a.perSecond, horizon, limit)
+	want := bucket.Want(a.perSecond, limit)
 	done := make(chan outcome, 1)
 	go func() { done <- a.take(ctx, limit, want, unused) }()
 	wait := patience
 	for {
 		select {
 		case o := <-done:
-			a.finish(o, want)
+			a.finish(o, want, limit)
 			return
 		case <-time.After(wait):
 			a.giveCredit(limit)
@@ -322,7 +318,7 @@
 }
 
 // finish publishes what was taken.
-func (a *account) finish(o outcome, want int) {
+func (a *account) finish(o outcome, want int, limit bucket.Limit) {
 	now := clock.Now()
 	if o.err != nil {
 		a.fail(o.err)
@@ -340,7 +336,7 @@
 		return
 	}
 	a.given += max(o.taken-o.returned, 0)
-	a.share.Grant.Publish(blackboard.NewGrant(tokens, now.Add(validity), 0))
+	a.share.Grant.Publish(blackboard.NewGrant(tokens, now.Add(bucket.Validity(limit)), 0))
 }
 
 // fail gives tokens on credit after a call that failed.
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -22,12 +22,12 @@
 
 const (
 	// heartbeat is the time between two writes of a daemon's row.
-	heartbeat = 700 * time.Millisecond
+	heartbeat = 900 * time.Millisecond
 	// readInterval is the time between two readings of all rows.
-	readInterval = 600 * time.Millisecond
+	readInterval = 900 * time.Millisecond
 	// lapseTime is how long a daemon may leave its row unchanged while the store
 	// is read.
-	lapseTime = 2500 * time.Millisecond
+	lapseTime = 3200 * time.Millisecond
 	// forgetTime is how long the row of a lapsed daemon is kept.
 	forgetTime = 20 * time.Second
 	// maxCounted bounds the time between two readings that counts: a daemon does
--- a/controller/roster/roster_test.go
+++ b/controller/roster/roster_test.go
@@ -55,8 +55,8 @@
 func TestSilentDaemonLapses(t *testing.T) {
 	o := newObserved(t)
 	o.read(0, a1, b1)
-	for range 4 {
-		o.read(700*time.Millisecond, a1)
+	for passed := time.Duration(0); passed <= lapseTime; passed += heartbeat {
+		o.read(heartbeat, a1)
 	}
 	if got := o.names(); got != "a1 " {
 		t.Errorf("running: %s", got)
--- a/policy/bucket/bucket.go
+++ b/policy/bucket/bucket.go
@@ -52,12 +52,31 @@
 	return time.Duration((1 - s.Tokens) / l.Rate * float64(time.Second))
 }
 
+// Bounds of how long tokens may be used after they were taken.
+const (
+	minValidity = 1200 * time.Millisecond
+	maxValidity = 4 * time.Second
+	// heldTokens is how many tokens may be used later than the bucket gave them,
+	// over all daemons; the limit of a workspace leaves that room.
+	heldTokens = 20
+)
+
+// Validity returns how long tokens may be used: longer for a low rate, so that
+// daemons with few requests need not ask for each of them.
+func Validity(l Limit) time.Duration {
+	if l.Rate <= 0 {
+		return minValidity
+	}
+	return min(max(time.Duration(heldTokens/l.Rate*float64(time.Second)), minValidity), maxValidity)
+}
+
 // maxPart is the time whose tokens one daemon may hold at most.
 const maxPart = 300 * time.Millisecond
 
 // Want returns how many tokens a daemon asks for that got the given number of
-// requests a second lately and needs enough for the horizon.
-func Want(perSecond float64, horizon time.Duration, l Limit) int {
-	most := math.Ceil(l.Rate * maxPart.Seconds())
-	return max(int(math.Min(math.Ceil(perSecond*horizon.Seconds())+1, most)), 1)
+// requests a second lately: enough for most of their validity.
+func Want(perSecond float64, l Limit) int {
+	const part = 0.8
+	most := math.Max(math.Ceil(l.Rate*maxPart.Seconds()), 2)
+	return max(int(math.Min(math.Ceil(perSecond*part*Validity(l).Seconds())+1, most)), 1)
 }
--- a/policy/bucket/bucket_test.go
+++ b/policy/bucket/bucket_test.go
@@ -72,7 +72,7 @@
 		perSecond float64
 		want      int
 	}{{0, 1}, {3, 4}, {1000, 6}} {
-		if got := Want(c.perSecond, time.Second, Limit{Rate: 20, Burst: 20}); got != c.want {
+		if got := Want(c.perSecond, Limit{Rate: 20, Burst: 20}); got != c.want {
 			t.Errorf("Want at %v a second is %d, want %d", c.perSecond, got, c.want)
 		}
 	}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -17,6 +17,10 @@
 	// chosen.
 	awayPenalty   = 1.5
 	remotePenalty = 2.0
+	// sampled is how many of the engines that the daemon does not prefer are
+	// looked at. Daemons whose knowledge is a little old would otherwise all
+	// choose the engine that was the least loaded one.
+	sampled = 5
 )
 
 // Query is what a request asks of an engine.
@@ -42,15 +46,25 @@
 }
 
 // Choose returns the engine with the lowest load that may take the request, or
-// nil. Engines that failed lately come last.
+// nil. It looks at the preferred engines and at some others, and at all if none
+// of these may take it. Engines that failed lately come last.
 func Choose(engines []*blackboard.Engine, q *Query) *blackboard.Engine {
+	others := len(engines) - len(q.Homes)
+	if others > sampled {
+		if e := choose(engines, q, float64(sampled)/float64(others)); e != nil && !e.Load.Avoided(q.Now) {
+			return e
+		}
+	}
+	return choose(engines, q, 1)
+}
+
+// choose looks at the preferred engines and, with the given chance, at each of
+// the others.
+func choose(engines []*blackboard.Engine, q *Query, chance float64) *blackboard.Engine {
 	var best *blackboard.Engine
 	bestCost := 0.0
 	for _, e := range engines {
-		if !e.Usable() || q.Tried != nil && q.Tried(e) {
-			continue
-		}
-		if e.OnlineBusy() >= e.Slots+q.MaxQueue {
+		if !q.admits(e) || !q.Homes[e.ID] && chance < 1 && q.Random() >= chance {
 			continue
 		}
 		cost := q.cost(e)
@@ -65,6 +79,11 @@
 	return best
 }
 
+// admits tells whether the engine may get the request, but for cold start.
+func (q *Query) admits(e *blackboard.Engine) bool {
+	return e.Usable() && (q.Tried == nil || !q.Tried(e)) && e.OnlineBusy() < e.Slots+q.MaxQueue
+}
+
 // avoidedCost exceeds every load.
 const avoidedCost = 1e6
 
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -139,11 +139,11 @@
 
 func TestEngineThatReportsMoreIsBusier(t *testing.T) {
 	e := newEngine("a", 1, 0)
-	e.Load.Report(7, clock.Now())
+	e.Load.Own.Set(7, clock.Now())
 	if e.Busy() != 7 {
 		t.Errorf("busy %d, want 7", e.Busy())
 	}
-	e.Load.Report(7, clock.Now().Add(-1e9))
+	e.Load.Own.Set(7, clock.Now().Add(-1e9))
 	if e.Busy() != 1 {
 		t.Errorf("an old report counts: busy %d", e.Busy())
 	}
--- a/relay/jobs.go
+++ b/relay/jobs.go
@@ -15,7 +15,7 @@
 const (
 	// headsValidity is how old a reading of the jobs' heads may be to answer a
 	// caller without asking the store.
-	headsValidity = 700 * time.Millisecond
+	headsValidity = 850 * time.Millisecond
 	// maxSubmitTime bounds the acceptance of a job.
 	maxSubmitTime = 2500 * time.Millisecond
 )
--- a/relay/request.go
+++ b/relay/request.go
@@ -101,7 +101,7 @@
 // note keeps the load that the engine reported with its answer.
 func (a *Answer) note(engine *blackboard.Engine) {
 	if a.Running >= 0 {
-		engine.Load.Report(a.Running+a.Waiting, clock.Now())
+		engine.Load.Own.Set(int64(a.Running+a.Waiting), clock.Now())
 	}
 }
 
