--- a/controller/directory/directory.go
+++ b/controller/directory/directory.go
@@ -61,25 +61,29 @@
 func (c *Controller) RunOperators(ctx context.Context) {
 	table, _ := c.decoder.Tables()
 	f := store.NewFollower(c.store, table)
+	lost := false
 	for ctx.Err() == nil {
 		sent := clock.Now()
 		batch, err := f.Next(ctx)
+		c.noteContact(&lost, "operators", err)
 		if err == nil {
 			c.applyOperators(batch, sent)
 		}
-		c.noteContact("operators", sent, err)
 		timer.Sleep(ctx, pollInterval)
 	}
 }
 
 // noteContact logs when the store is lost or reached again.
-func (c *Controller) noteContact(rows string, sent clock.Instant, err error) {
+func (c *Controller) noteContact(lost *bool, rows string, err error) {
 	age := clock.Since(c.board.Reading.Value().Sent)
 	switch {
-	case err != nil && !errors.Is(err, context.Canceled):
-		c.log.Warn().Str("rows", rows).Dur("reading_age", age).Err(err).Msg("reading the store failed")
-	case err == nil && sent.Sub(c.board.Reading.Value().Sent) > outageAfter:
-		c.log.Info().Str("rows", rows).Dur("reading_age", age).Msg("store is read again")
+	case errors.Is(err, context.Canceled):
+	case err != nil && !*lost:
+		*lost = true
+		c.log.Warn().Str("rows", rows).Dur("reading_age", age).Err(err).Msg("store is lost")
+	case err == nil && *lost:
+		*lost = false
+		c.log.Info().Str("rows", rows).Dur("reading_age", age).Msg("store is reached again")
 	}
 }
 
@@ -171,9 +175,11 @@
 	e := &entries{controller: c, byID: make(map[string]*blackboard.Engine)}
 	f := store.NewFollower(c.store, table)
 	last := clock.Now()
+	lost := false
 	for ctx.Err() == nil {
 		sent := clock.Now()
 		batch, err := f.Next(ctx)
+		c.noteContact(&lost, "engines", err)
 		if err == nil {
 			e.outage = sent.Sub(last) > outageAfter || sent < e.returned.Add(returnTime)
 			if sent.Sub(last) > outageAfter {
@@ -182,7 +188,6 @@
 			last = sent
 			e.apply(batch)
 		}
-		c.noteContact("engines", sent, err)
 		timer.Sleep(ctx, pollInterval)
 	}
 }
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -210,6 +210,7 @@
 		c.post(ctx, func() {
 			delete(c.claiming, key)
 			if err != nil {
+				c.orphaned[key] = clock.Now() // wait before the next attempt
 				c.log.Warn().Str("job", key.ID).Str("owner", from).Err(err).Msg("batch job was not taken over")
 				return
 			}
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -61,16 +62,31 @@
 		c.log.Error().Err(err).Msg("daemon cannot be registered")
 		return
 	}
+	lost := false
 	for ctx.Err() == nil {
 		wait := heartbeat
-		if _, err := c.store.Commit(ctx, store.Tx{Put: []store.Row{{Key: c.key(), Value: value}}}); err != nil {
-			c.log.Warn().Err(err).Msg("daemon's row was not written")
+		_, err := c.store.Commit(ctx, store.Tx{Put: []store.Row{{Key: c.key(), Value: value}}})
+		if err != nil {
 			wait = retryInterval
 		}
+		c.noteContact(&lost, err, "daemon's row")
 		timer.Sleep(ctx, wait)
 	}
 }
 
+// noteContact logs when the store is lost or reached again.
+func (c *Controller) noteContact(lost *bool, err error, what string) {
+	switch {
+	case errors.Is(err, context.Canceled):
+	case err != nil && !*lost:
+		*lost = true
+		c.log.Warn().Str("what", what).Err(err).Msg("store is lost")
+	case err == nil && *lost:
+		*lost = false
+		c.log.Info().Str("what", what).Msg("store is reached again")
+	}
+}
+
 // Leave removes the daemon's row, so that others take its work over at once.
 func (c *Controller) Leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
@@ -98,11 +114,11 @@
 func (c *Controller) RunObserver(ctx context.Context) {
 	o := &observer{byID: make(map[string]*seen), last: clock.Now()}
 	f := store.NewFollower(c.store, Table)
+	lost := false
 	for ctx.Err() == nil {
 		batch, err := f.Next(ctx)
-		if err != nil {
-			c.log.Warn().Err(err).Msg("rows of the daemons were not read")
-		} else {
+		c.noteContact(&lost, err, "rows of all daemons")
+		if err == nil {
 			c.observe(ctx, o, batch)
 		}
 		timer.Sleep(ctx, readInterval)
--- a/entrytest/fleet_test.go
+++ b/entrytest/fleet_test.go
@@ -233,7 +233,6 @@
 	behave   behaviour
 	requests []*http.Request
 	bodies   []string
-	cut      atomic.Int64 // requests whose connection was closed before their end
 }
 
 // startEngine starts an engine and registers it.
