--- a/controller/directory/directory.go
+++ b/controller/directory/directory.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -61,11 +60,11 @@
 func (c *Controller) RunOperators(ctx context.Context) {
 	table, _ := c.decoder.Tables()
 	f := store.NewFollower(c.store, table)
-	lost := false
+	contact := new(store.Contact)
 	for ctx.Err() == nil {
 		sent := clock.Now()
 		batch, err := f.Next(ctx)
-		c.noteContact(&lost, "operators", err)
+		c.noteContact(contact, "operators", err)
 		if err == nil {
 			c.applyOperators(batch, sent)
 		}
@@ -74,15 +73,13 @@
 }
 
 // noteContact logs when the store is lost or reached again.
-func (c *Controller) noteContact(lost *bool, rows string, err error) {
+func (c *Controller) noteContact(contact *store.Contact, rows string, err error) {
+	lost, again := contact.Note(err)
 	age := clock.Since(c.board.Reading.Value().Sent)
-	switch {
-	case errors.Is(err, context.Canceled):
-	case err != nil && !*lost:
-		*lost = true
+	if lost {
 		c.log.Warn().Str("rows", rows).Dur("reading_age", age).Err(err).Msg("store is lost")
-	case err == nil && *lost:
-		*lost = false
+	}
+	if again {
 		c.log.Info().Str("rows", rows).Dur("reading_age", age).Msg("store is reached again")
 	}
 }
@@ -175,11 +172,11 @@
 	e := &entries{controller: c, byID: make(map[string]*blackboard.Engine)}
 	f := store.NewFollower(c.store, table)
 	last := clock.Now()
-	lost := false
+	contact := new(store.Contact)
 	for ctx.Err() == nil {
 		sent := clock.Now()
 		batch, err := f.Next(ctx)
-		c.noteContact(&lost, "engines", err)
+		c.noteContact(contact, "engines", err)
 		if err == nil {
 			e.outage = sent.Sub(last) > outageAfter || sent < e.returned.Add(returnTime)
 			if sent.Sub(last) > outageAfter {
--- a/controller/jobs/follow.go
+++ b/controller/jobs/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"time"
 
@@ -19,13 +18,19 @@
 // RunFollower follows the heads of all jobs until ctx is done.
 func (c *Controller) RunFollower(ctx context.Context) {
 	f := store.NewFollower(c.store, job.HeadTable)
+	contact := new(store.Contact)
 	for ctx.Err() == nil {
 		sent := clock.Now()
 		batch, err := f.Next(ctx)
 		if err == nil {
 			c.applyHeads(batch, sent)
-		} else if !errors.Is(err, context.Canceled) {
-			c.log.Warn().Err(err).Msg("heads of batch jobs were not read")
+		}
+		lost, again := contact.Note(err)
+		if lost {
+			c.log.Warn().Str("rows", "batch jobs").Err(err).Msg("store is lost")
+		}
+		if again {
+			c.log.Info().Str("rows", "batch jobs").Msg("store is reached again")
 		}
 		timer.Sleep(ctx, pollInterval)
 	}
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -62,28 +61,26 @@
 		c.log.Error().Err(err).Msg("daemon cannot be registered")
 		return
 	}
-	lost := false
+	contact := new(store.Contact)
 	for ctx.Err() == nil {
 		wait := heartbeat
 		_, err := c.store.Commit(ctx, store.Tx{Put: []store.Row{{Key: c.key(), Value: value}}})
 		if err != nil {
 			wait = retryInterval
 		}
-		c.noteContact(&lost, err, "daemon's row")
+		c.noteContact(contact, err, "daemon's row")
 		timer.Sleep(ctx, wait)
 	}
 }
 
 // noteContact logs when the store is lost or reached again.
-func (c *Controller) noteContact(lost *bool, err error, what string) {
-	switch {
-	case errors.Is(err, context.Canceled):
-	case err != nil && !*lost:
-		*lost = true
-		c.log.Warn().Str("what", what).Err(err).Msg("store is lost")
-	case err == nil && *lost:
-		*lost = false
-		c.log.Info().Str("what", what).Msg("store is reached again")
+func (c *Controller) noteContact(contact *store.Contact, err error, what string) {
+	lost, again := contact.Note(err)
+	if lost {
+		c.log.Warn().Str("rows", what).Err(err).Msg("store is lost")
+	}
+	if again {
+		c.log.Info().Str("rows", what).Msg("store is reached again")
 	}
 }
 
@@ -114,10 +111,10 @@
 func (c *Controller) RunObserver(ctx context.Context) {
 	o := &observer{byID: make(map[string]*seen), last: clock.Now()}
 	f := store.NewFollower(c.store, Table)
-	lost := false
+	contact := new(store.Contact)
 	for ctx.Err() == nil {
 		batch, err := f.Next(ctx)
-		c.noteContact(&lost, err, "rows of all daemons")
+		c.noteContact(contact, err, "rows of all daemons")
 		if err == nil {
 			c.observe(ctx, o, batch)
 		}
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -67,6 +67,7 @@
 	Jobs       *jobsArgs       `arg:"subcommand:jobs" help:"list the batch jobs"`
 	Status     *statusArgs     `arg:"subcommand:status" help:"show every daemon and its configuration"`
 	Report     *reportArgs     `arg:"subcommand:report" help:"reports"`
+	Trace      *traceArgs      `arg:"subcommand:trace" help:"tell the story of a request, job or item from log files"`
 
 	Gateway string `arg:"--gateway,env:BAOBAB_GATEWAY" default:"http://127.0.0.1:8080" placeholder:"URL" help:"address of a gateway"`
 	KeyFile string `arg:"--admin-key-file" placeholder:"FILE" help:"file with the operators' key; the default is the variable BAOBAB_ADMIN_KEY"`
@@ -88,6 +89,7 @@
   baobabctl key withdraw key-3fA9x0aB
   baobabctl dc out bajio-2
   baobabctl --json status
+  baobabctl trace 9c41d07be2a35f68 /var/log/baobab
 
 Exit codes: 0 done, 1 failed, 2 wrong command line or invalid file,
 3 another change was accepted first, 4 gateway unreachable,
--- /dev/null
+++ b/entrytest/explain_test.go
@@ -0,0 +1,127 @@
+package entrytest
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/ctl"
+	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/standin"
+)
+
+// settingsFile is the settings of a process as the platform writes them.
+const settingsFile = `
+nodeName: %q
+ip: %q
+zone: "dc-1"
+listen: {front: %q, readiness: %q}
+internalPorts: [%s, %s]
+limits: {memoryMb: 200}
+bounds: {drainMs: 2000, graceS: 8, revokeMs: 3000, statusS: 120}
+platform: {address: %q}
+`
+
+// startProcess starts an entry daemon as a process of its own, whose output goes
+// to a file in the directory.
+func (f *fleet) startProcess(t *testing.T, logs, name string) *entry {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "baobab-entry")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/baobab-entry").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v %s", err, out)
+	}
+	d := &entry{settings: platform.Settings{Name: name, Front: address(t), Readiness: address(t)}}
+	host, peerPort, _ := net.SplitHostPort(address(t))
+	_, metricsPort, _ := net.SplitHostPort(address(t))
+	settings := filepath.Join(t.TempDir(), "settings.yaml")
+	content := fmt.Sprintf(settingsFile, name, host, d.settings.Front, d.settings.Readiness, peerPort, metricsPort,
+		strings.TrimPrefix(f.store.URL(), "http://"))
+	if err := os.WriteFile(settings, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	output, err := os.Create(filepath.Join(logs, name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
+	cmd.Stdout, cmd.Stderr = output, output
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGKILL)
+		_ = cmd.Wait()
+		output.Close()
+	})
+	eventually(t, "process is ready", d.ready)
+	return d
+}
+
+// story returns what baobabctl tells of the id from the log files alone.
+func story(t *testing.T, logs, id string) string {
+	t.Helper()
+	var out, errOut strings.Builder
+	if code := ctl.Main([]string{"trace", id, logs}, &out, &errOut); code != ctl.ExitOK {
+		t.Fatalf("trace %s: exit code %d: %s", id, code, errOut.String())
+	}
+	return out.String()
+}
+
+// inOrder checks that the story holds the texts, one after the other.
+func inOrder(t *testing.T, story string, texts ...string) {
+	t.Helper()
+	rest := story
+	for _, text := range texts {
+		_, after, found := strings.Cut(rest, text)
+		if !found {
+			t.Fatalf("the story does not tell %q in its place:\n%s", text, story)
+		}
+		rest = after
+	}
+}
+
+// TestFailedRequestsAreExplainedByLogsAlone plays the three ways of
+// docs/OPERATIONS.md on a process of its own.
+func TestFailedRequestsAreExplainedByLogsAlone(t *testing.T) {
+	f := newFleet(t)
+	f.startEngine("i-1", func(e *engine, w http.ResponseWriter, r *http.Request, n int) {
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/once/"):
+			cutAfter(2)(e, w, r, n)
+		case strings.HasSuffix(r.URL.Path, "/1"):
+			w.WriteHeader(http.StatusInternalServerError)
+		default:
+			stream(e, w, r, n)
+		}
+	})
+	logs := t.TempDir()
+	d := f.startProcess(t, logs, "entry-1")
+
+	d.send(t.Context(), t, request{path: "/once/a", id: "broken-stream", key: key})
+	d.submit(t, "job", 3, 10)
+	eventually(t, "the job is done", func() bool {
+		page, _ := d.read(t, "job", 0)
+		return len(page.Results) == 3
+	})
+	f.store.Set(standin.Faults{Outage: true})
+	refused := ""
+	eventually(t, "a request within its rate is refused", func() bool {
+		time.Sleep(100 * time.Millisecond)
+		refused = fmt.Sprintf("refused-%d", ids.Add(1))
+		return d.send(t.Context(), t, request{path: "/resume/a", id: refused, key: key}).status == http.StatusServiceUnavailable
+	})
+	time.Sleep(300 * time.Millisecond) // the log is written beside the requests
+
+	inOrder(t, story(t, logs, "broken-stream"), "attempt failed", "engine=i-1", "request was not served", "result=answer_incomplete")
+	inOrder(t, story(t, logs, "job-1"), "batch job was accepted", "item runs again", "engine=i-1",
+		"item is given up", "failed=3", "reason=every attempt failed")
+	inOrder(t, story(t, logs, refused), "store is lost", "request was not served", "reading_age=", "result=config_stale")
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -70,3 +70,18 @@
 	f.version, f.started = batch.Version, true
 	return batch, nil
 }
+
+// Contact tells when a store is lost and when it is reached again. It belongs to
+// one goroutine.
+type Contact struct{ isLost bool }
+
+// Note takes in the outcome of a call. It returns whether the store was lost or
+// reached again by it.
+func (c *Contact) Note(err error) (lost, again bool) {
+	if errors.Is(err, context.Canceled) {
+		return false, false
+	}
+	lost, again = err != nil && !c.isLost, err == nil && c.isLost
+	c.isLost = err != nil
+	return lost, again
+}
