--- a/relay/server.go
+++ b/relay/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"time"
 
@@ -96,17 +95,6 @@
 	return r.started, err
 }
 
-// served logs the request's way to its answer.
-func (r *run) served() {
-	r.server.metrics.served(r.admitted.Sub(r.Received), r.first.Sub(r.Received))
-	r.server.log.Info().Str("request", r.ID).Str("workspace", r.WorkspaceName()).Str("route", r.Route.Name).
-		Strs("engines", r.tried).Int("engine_online", r.online).Int("engine_busy", r.busy).
-		Int("reported_running", r.running).Int("reported_waiting", r.waiting).
-		Dur("admitted", r.admitted.Sub(r.Received)).Dur("first_event", r.first.Sub(r.Received)).
-		Dur("took", clock.Since(r.Received)).Int64("config_version", r.Catalog.Version).Int("runs", r.runs).
-		Msg("request was served")
-}
-
 // deadline returns when the request must have its answer.
 func deadline(req *Request, route *catalog.Route) clock.Instant {
 	left := req.Patience
@@ -289,92 +277,3 @@
 	r.decision(engine, "refused").Int("status", answer.Status).Msg("engine did not run the request")
 	return result.New(result.UpstreamOverloaded, result.NotRun).After(busyRetry)
 }
-
-// decision starts a log line about the request at the engine.
-func (r *run) decision(engine *blackboard.Engine, outcome string) *log.Entry {
-	return r.server.log.Warn().Str("request", r.ID).Str("engine", engine.ID).Str("outcome", outcome).
-		Int("engine_online", engine.OnlineBusy()).Int("engine_busy", engine.Busy()).
-		Int64("config_version", r.Catalog.Version).Int("runs", r.runs)
-}
-
-// pass hands the answer to the sink.
-func (r *run) pass(answer *Answer, watch *time.Timer) error {
-	if answer.Events && answer.Class == Succeeded {
-		return r.passEvents(answer, watch)
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
-	if err != nil {
-		return result.New(result.AnswerIncomplete, result.MayHaveRun)
-	}
-	if err := r.start(answer); err != nil {
-		return err
-	}
-	return r.write(body)
-}
-
-func (r *run) start(answer *Answer) error {
-	if r.started {
-		return nil
-	}
-	r.started, r.first = true, clock.Now()
-	r.running, r.waiting = answer.Running, answer.Waiting
-	if err := r.sink.Start(answer.Status, answer.Header); err != nil {
-		return result.New(result.CallerGone, result.MayHaveRun)
-	}
-	return nil
-}
-
-func (r *run) write(data []byte) error {
-	if len(data) == 0 {
-		return nil
-	}
-	if err := r.sink.Write(data); err != nil {
-		return result.New(result.CallerGone, result.MayHaveRun)
-	}
-	return nil
-}
-
-// passEvents passes whole events on as they arrive. Events that the caller has
-// already are left out.
-func (r *run) passEvents(answer *Answer, watch *time.Timer) error {
-	reader := NewEventReader(answer.Body)
-	for {
-		events, err := reader.Next()
-		if err == io.EOF {
-			if err := r.start(answer); err != nil {
-				return err
-			}
-			return r.write(reader.Rest())
-		}
-		if err != nil {
-			return result.New(result.AnswerIncomplete, result.MayHaveRun)
-		}
-		if err := r.start(answer); err != nil {
-			return err
-		}
-		watch.Reset(eventSilence)
-		if err := r.passNew(events); err != nil {
-			return err
-		}
-	}
-}
-
-func (r *run) passNew(events []Event) error {
-	var data []byte
-	for _, e := range events {
-		if e.Number >= 0 && e.Number <= r.last {
-			continue
-		}
-		data = append(data, e.Raw...)
-		r.last = max(r.last, e.Number)
-	}
-	return r.write(data)
-}
-
-// Refused logs a request that got no whole answer of an engine.
-func (s *Server) Refused(id string, err error) {
-	e := result.From(err)
-	s.metrics.refused(e.Code)
-	s.log.Warn().Str("request", id).Str("result", e.Code.String()).Int("code", int(e.Code)).Str("verdict", e.Verdict.String()).
-		Dur("reading_age", clock.Since(s.board.Reading.Value().Sent)).Int64("reading_version", s.board.Reading.Value().Version).Str("detail", e.Text()).Msg("request was not served")
-}
