--- a/entrytest/fleet_test.go
+++ b/entrytest/fleet_test.go
@@ -127,7 +127,7 @@
 	d := &entry{settings: platform.Settings{
 		Name: name, DataCentre: "dc-1", Front: address(f.t), Readiness: address(f.t), Peer: address(f.t),
 		Metrics: address(f.t), Store: strings.TrimPrefix(f.store.URL(), "http://"), MemoryBytes: 1 << 30,
-		Grace: 8 * time.Second, KeyGrace: f.keyGrace, DrainGrace: 2 * time.Second, ResultRetention: time.Minute,
+		Grace: 8 * time.Second, KeyGrace: f.keyGrace,
 	}}
 	process, err := daemon.StartEntry(d.settings, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}})
 	if err != nil {
--- a/httpserve/client.go
+++ b/httpserve/client.go
@@ -26,14 +26,12 @@
 // NewSingleUseClient returns an HTTP client that uses a new connection for each
 // request. Such a request is never sent again by the library.
 func NewSingleUseClient(name string) httpc.Service {
-	breaker.NoBreakerFor(name)
-	return httpc.NewServiceWithClient(name, newHTTPClient(true, dialTimeout))
+	return NewSingleUseClientWithin(name, dialTimeout)
 }
 
-// NewEngineClient returns an HTTP client that uses a new connection for each
-// request and waits for at most dial until it is established. Such a request is
-// never sent again by the library.
-func NewEngineClient(name string, dial time.Duration) httpc.Service {
+// NewSingleUseClientWithin is NewSingleUseClient with a bound on the time until a
+// connection is established.
+func NewSingleUseClientWithin(name string, dial time.Duration) httpc.Service {
 	breaker.NoBreakerFor(name)
 	return httpc.NewServiceWithClient(name, newHTTPClient(true, dial))
 }
--- /dev/null
+++ b/store/follower_test.go
@@ -0,0 +1,85 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/standin"
+	"github.com/baobablanding/baobablanding/store"
+)
+
+func TestFollowerSeesEveryChangeAlsoAfterTheHistoryIsGone(t *testing.T) {
+	p, err := standin.StartPlatform("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	s := platform.NewStore(p.URL()[len("http://"):])
+	f := store.NewFollower(s, "t")
+	seen := make(map[string]string)
+	next := func() bool {
+		batch, err := f.Next(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if batch.Whole {
+			clear(seen)
+		}
+		for _, row := range batch.Rows {
+			seen[row.Name] = string(row.Value)
+			if row.Deleted {
+				delete(seen, row.Name)
+			}
+		}
+		return batch.Whole
+	}
+	p.PutRow("t", "a", "x", []byte("1"))
+	if !next() || seen["x"] != "1" {
+		t.Fatalf("first reading: %v", seen)
+	}
+	p.PutRow("t", "b", "y", []byte("2"))
+	p.RemoveRow("t", "a", "x")
+	p.PutRow("other", "", "z", []byte("3"))
+	if next() || len(seen) != 1 || seen["y"] != "2" {
+		t.Fatalf("changes: %v", seen)
+	}
+	p.PutRow("t", "b", "y", []byte("4"))
+	p.PutRow("t", "c", "w", []byte("5"))
+	p.Forget()
+	if !next() || len(seen) != 2 || seen["y"] != "4" {
+		t.Fatalf("after the history is gone: %v", seen)
+	}
+}
+
+func TestErrorsTellWhetherACallWasDone(t *testing.T) {
+	p, err := standin.StartPlatform("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := platform.NewStore(p.URL()[len("http://"):])
+	key := store.Key{Table: "t", Name: "x"}
+	tx := store.Tx{If: []store.Condition{{Key: key}}, Put: []store.Row{{Key: key, Value: []byte("1")}}}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+
+	p.Set(standin.Faults{Outage: true})
+	if _, err := s.Commit(ctx, tx); !errors.Is(err, store.ErrNotDone) {
+		t.Errorf("refused: %v", err)
+	}
+	p.Set(standin.Faults{LoseAnswers: 1})
+	if _, err := s.Commit(ctx, tx); !errors.Is(err, store.ErrUnknown) {
+		t.Errorf("lost answer: %v", err)
+	}
+	_, err = s.Commit(ctx, tx)
+	var conflict *store.Conflict
+	if !errors.As(err, &conflict) || len(conflict.Rows) != 1 || string(conflict.Rows[0].Value) != "1" {
+		t.Errorf("conflict: %v", err)
+	}
+	p.Close()
+	if _, err := s.Commit(ctx, tx); !errors.Is(err, store.ErrNotDone) && !errors.Is(err, store.ErrUnknown) {
+		t.Errorf("store that is gone: %v", err)
+	}
+}
