--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -37,12 +37,10 @@
 	keys       map[string]*Workspace
 }
 
-// Limits bounds what a caller may send and how long it may stay idle.
+// Limits bounds what a caller may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes is the size of the largest body, or 0 if none is given.
+	MaxBodyBytes int64
 }
 
 // Route sends the requests of a host and path prefix to a service.
--- a/entrytest/online_test.go
+++ b/entrytest/online_test.go
@@ -47,6 +47,7 @@
 		"no key":       {request{path: "/once/a"}, http.StatusUnauthorized},
 		"unknown key":  {request{path: "/once/a", key: "other"}, http.StatusUnauthorized},
 		"no route":     {request{path: "/nothing/a", key: key}, http.StatusNotFound},
+		"too large":    {request{path: "/once/a", key: key, body: string(make([]byte, 4194305))}, http.StatusRequestEntityTooLarge},
 		"malformed":    {request{path: "/jobs/j", key: key, body: "{"}, http.StatusBadRequest},
 		"no such job":  {request{method: http.MethodGet, path: "/v1/lots/none", key: key}, http.StatusNotFound},
 		"foreign read": {request{method: http.MethodGet, path: "/v1/lots/none", key: "other"}, http.StatusUnauthorized},
