--- a/controller/rates/account.go
+++ b/controller/rates/account.go
@@ -91,7 +91,8 @@
 	}
 	want := bucket.Want(a.perSecond, limit)
 	done := make(chan outcome, 1)
-	go func() { done <- a.take(ctx, limit, want, unused) }()
+	asked := want + a.debt // the debt grows while the call runs
+	go func() { done <- a.take(ctx, limit, asked, unused) }()
 	wait := patience
 	for {
 		select {
--- /dev/null
+++ b/controller/rates/rates_test.go
@@ -0,0 +1,83 @@
+package rates
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/store"
+	"github.com/baobablanding/baobablanding/store/storetest"
+)
+
+// slowStore answers late.
+type slowStore struct {
+	*storetest.Store
+	delay time.Duration
+}
+
+// Commit implements store.Store.
+func (s *slowStore) Commit(ctx context.Context, tx store.Tx) (store.Reading, error) {
+	time.Sleep(s.delay)
+	return s.Store.Commit(ctx, tx)
+}
+
+// drain asks for tokens for a time and returns how many it got.
+func drain(t *testing.T, rows store.Store, length time.Duration) int {
+	t.Helper()
+	board := blackboard.NewEntry()
+	board.Catalog.Publish(catalog.New(catalog.Content{
+		Version: 1, Workspaces: []*catalog.Workspace{{Name: "w", Rate: 50, Burst: 10}},
+	}))
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() {
+		New(board, rows, logger).Run(ctx)
+		close(stopped)
+	}()
+	defer func() {
+		cancel()
+		<-stopped
+	}()
+	got := 0
+	for start := time.Now(); time.Since(start) < length; time.Sleep(time.Millisecond) {
+		share := board.Shares.Value().ByWorkspace["w"]
+		if share == nil {
+			continue
+		}
+		share.Asked.Add(1)
+		if share.Take(share.Grant.Value(), clock.Now()) {
+			got++
+		}
+	}
+	return got
+}
+
+func TestDaemonGetsTheRate(t *testing.T) {
+	// The store's clock stands nearly still, so that only the burst and what
+	// passes on the daemon's clock between two calls count.
+	if got := drain(t, storetest.New(), time.Second); got < 10 || got > 70 {
+		t.Errorf("%d tokens in 1s of a rate of 50 with a burst of 10", got)
+	}
+}
+
+func TestSlowStoreDoesNotStopAdmission(t *testing.T) {
+	rows := &slowStore{Store: storetest.New(), delay: 300 * time.Millisecond}
+	if got := drain(t, rows, 1500*time.Millisecond); got < 10 || got > 100 {
+		t.Errorf("%d tokens in 1.5s of a rate of 50 at a store that answers after 300ms", got)
+	}
+}
+
+func TestCreditStaysNearTheRateWithoutTheStore(t *testing.T) {
+	rows := storetest.New()
+	rows.Lose = storetest.Never
+	if got := drain(t, rows, 2*time.Second); got < 5 || got > 110 {
+		t.Errorf("%d tokens in 2s on credit of a rate of 50", got)
+	}
+}
--- a/controller/rates/take.go
+++ b/controller/rates/take.go
@@ -32,7 +32,7 @@
 			}
 		}
 		now := a.storeNow + clock.Since(a.seen)
-		next, taken := a.state.Refill(limit, now).Take(limit, want+a.debt, unused)
+		next, taken := a.state.Refill(limit, now).Take(limit, want, unused)
 		if taken == 0 {
 			return outcome{wait: max(next.Wait(limit), minWait)}
 		}
