--- a/controller/jobs/place.go
+++ b/controller/jobs/place.go
@@ -28,7 +28,7 @@
 		c.trimmed[e.ID] = now
 		for _, p := range c.latest(e.ID, excess) {
 			c.log.Info().Str("item", p.item().ID).Str("job", p.job.key.ID).Str("engine", e.ID).
-				Int("engine_busy", e.Busy()).Int64("event", p.last).Msg("item gives way to online requests")
+				Int("engine_busy", e.Busy()).Int64("event", p.last.Load()).Msg("item gives way to online requests")
 			p.cut = true
 			p.cancel()
 		}
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -25,13 +26,13 @@
 )
 
 // progress is what an item has reached. While it runs, only its goroutine uses
-// output and last.
+// output and writes last.
 type progress struct {
 	job     *owned
 	index   int
-	output  []string // data of the events so far
-	last    int64    // number of the last event
-	failed  int      // answers that count as failed attempts
+	output  []string     // data of the events so far
+	last    atomic.Int64 // number of the last event
+	failed  int          // answers that count as failed attempts
 	refused map[string]clock.Instant
 
 	ran time.Duration // of its runs before this one
@@ -43,7 +44,9 @@
 }
 
 func newProgress(o *owned, index int) *progress {
-	return &progress{job: o, index: index, last: -1, refused: make(map[string]clock.Instant)}
+	p := &progress{job: o, index: index, refused: make(map[string]clock.Instant)}
+	p.last.Store(-1)
+	return p
 }
 
 func (p *progress) item() *job.Item { return &p.job.items[p.index] }
@@ -65,7 +68,7 @@
 // logItem starts a log line about a run of the item.
 func (c *Controller) logItem(p *progress, engine *blackboard.Engine, err error) *log.Entry {
 	return c.log.Warn().Str("item", p.item().ID).Str("job", p.job.key.ID).Str("engine", engine.ID).
-		Int64("event", p.last).Int("engine_busy", engine.Busy()).Err(err)
+		Int64("event", p.last.Load()).Int("engine_busy", engine.Busy()).Err(err)
 }
 
 // ending is how one run of an item ended.
@@ -108,7 +111,7 @@
 	defer silence.Stop()
 	answer, err := c.engines.Call(ctx, &relay.Call{
 		ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body,
-		Workspace: p.job.key.Workspace, Engine: engine, After: p.last,
+		Workspace: p.job.key.Workspace, Engine: engine, After: p.last.Load(),
 	})
 	if err != nil {
 		var call *relay.CallError
@@ -147,11 +150,11 @@
 		}
 		silence.Reset(itemSilence)
 		for _, e := range events {
-			if e.Number < 0 || e.Number <= p.last {
+			if e.Number < 0 || e.Number <= p.last.Load() {
 				continue
 			}
 			p.output = append(p.output, string(e.Data))
-			p.last = e.Number
+			p.last.Store(e.Number)
 		}
 	}
 }
