--- a/controller/directory/directory.go
+++ b/controller/directory/directory.go
@@ -9,7 +9,6 @@
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/catalog"
-	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/store"
 )
 
@@ -51,15 +50,3 @@
 func New(board *blackboard.Entry, s store.Store, decoder Decoder, logger *log.Logger) *Controller {
 	return &Controller{board: board, store: s, decoder: decoder, log: logger, out: make(map[string]bool)}
 }
-
-// noteContact logs when the store is lost or reached again.
-func (c *Controller) noteContact(contact *store.Contact, rows string, err error) {
-	lost, again := contact.Note(err)
-	age := clock.Since(c.board.Reading.Value().Sent)
-	if lost {
-		c.log.Warn().Str("rows", rows).Dur("reading_age", age).Err(err).Msg("store is lost")
-	}
-	if again {
-		c.log.Info().Str("rows", rows).Dur("reading_age", age).Msg("store is reached again")
-	}
-}
--- a/controller/directory/engines.go
+++ b/controller/directory/engines.go
@@ -2,36 +2,29 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/follow"
 	"github.com/baobablanding/baobablanding/store"
-	"github.com/baobablanding/baobablanding/timer"
 )
 
 // RunEngines follows the engines' entries until ctx is done.
 func (c *Controller) RunEngines(ctx context.Context) {
 	_, table := c.decoder.Tables()
 	e := &entries{controller: c, byID: make(map[string]*blackboard.Engine)}
-	f := store.NewFollower(c.store, table)
 	last := clock.Now()
-	contact := new(store.Contact)
-	for ctx.Err() == nil {
-		sent := clock.Now()
-		batch, err := f.Next(ctx)
-		c.noteContact(contact, "engines", err)
-		if err == nil {
-			e.outage = sent.Sub(last) > outageAfter || sent < e.returned.Add(returnTime)
-			if sent.Sub(last) > outageAfter {
-				e.returned = clock.Now()
-			}
-			last = sent
-			e.apply(batch)
+	follow.Table(ctx, c.store, table, pollInterval, follow.NewContact(c.log, "engines"), func(batch store.Batch, sent clock.Instant) {
+		e.outage = sent.Sub(last) > outageAfter || sent < e.returned.Add(returnTime)
+		if sent.Sub(last) > outageAfter {
+			e.returned = clock.Now()
 		}
-		timer.Sleep(ctx, pollInterval)
-	}
+		last = sent
+		e.apply(batch)
+	})
 }
 
 // entries holds the engines between two readings. It belongs to one goroutine.
@@ -140,14 +133,7 @@
 
 func (e *entries) publish() {
 	e.controller.board.Engines.Update(func(*blackboard.Engines) *blackboard.Engines {
-		out := e.controller.board.TakenOut.Value()
-		all := make([]*blackboard.Engine, 0, len(e.byID))
-		for _, engine := range e.byID {
-			shown := *engine
-			shown.Out = out[engine.DataCentre]
-			all = append(all, &shown)
-		}
-		slices.SortFunc(all, func(a, b *blackboard.Engine) int { return strings.Compare(a.ID, b.ID) })
-		return blackboard.NewEngines(all)
+		all := slices.SortedFunc(maps.Values(e.byID), func(a, b *blackboard.Engine) int { return strings.Compare(a.ID, b.ID) })
+		return withOut(all, e.controller.board.TakenOut.Value())
 	})
 }
--- a/controller/directory/operators.go
+++ b/controller/directory/operators.go
@@ -2,29 +2,20 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/follow"
 	"github.com/baobablanding/baobablanding/store"
-	"github.com/baobablanding/baobablanding/timer"
 )
 
 // RunOperators follows the operators' rows until ctx is done.
 func (c *Controller) RunOperators(ctx context.Context) {
 	table, _ := c.decoder.Tables()
-	f := store.NewFollower(c.store, table)
-	contact := new(store.Contact)
-	for ctx.Err() == nil {
-		sent := clock.Now()
-		batch, err := f.Next(ctx)
-		c.noteContact(contact, "operators", err)
-		if err == nil {
-			c.applyOperators(batch, sent)
-		}
-		timer.Sleep(ctx, pollInterval)
-	}
+	follow.Table(ctx, c.store, table, pollInterval, follow.NewContact(c.log, "operators"), c.applyOperators)
 }
 
 func (c *Controller) applyOperators(batch store.Batch, sent clock.Instant) {
@@ -35,8 +26,12 @@
 	}
 	for _, row := range batch.Rows {
 		if dataCentre, ok := c.decoder.TakenOut(row.Key); ok {
-			c.out[dataCentre] = !row.Deleted
 			outChanged = true
+			if row.Deleted {
+				delete(c.out, dataCentre)
+			} else {
+				c.out[dataCentre] = true
+			}
 			continue
 		}
 		if row.Deleted {
@@ -76,35 +71,20 @@
 // markOut publishes which data centres are taken out. The engines are changed
 // after that, so that a concurrent publication of the engines cannot undo it.
 func (c *Controller) markOut() {
-	out := cloneOut(c.out)
+	out := maps.Clone(c.out)
 	c.board.TakenOut.Publish(out)
-	c.board.Engines.Update(func(old *blackboard.Engines) *blackboard.Engines {
-		all := make([]*blackboard.Engine, len(old.All))
-		for i, e := range old.All {
-			changed := *e
-			changed.Out = out[e.DataCentre]
-			all[i] = &changed
-		}
-		return blackboard.NewEngines(all)
-	})
-	c.log.Info().Strs("data_centres", outNames(out)).Msg("data centres that are taken out")
-}
-
-func cloneOut(out map[string]bool) map[string]bool {
-	clone := make(map[string]bool, len(out))
-	for dc, is := range out {
-		if is {
-			clone[dc] = true
-		}
-	}
-	return clone
+	c.board.Engines.Update(func(old *blackboard.Engines) *blackboard.Engines { return withOut(old.All, out) })
+	c.log.Info().Strs("data_centres", slices.Sorted(maps.Keys(out))).Msg("data centres that are taken out")
 }
 
-func outNames(out map[string]bool) []string {
-	var names []string
-	for dc := range out {
-		names = append(names, dc)
+// withOut returns the set of the engines, marked by whether their data centre is
+// taken out.
+func withOut(engines []*blackboard.Engine, out map[string]bool) *blackboard.Engines {
+	all := make([]*blackboard.Engine, len(engines))
+	for i, e := range engines {
+		changed := *e
+		changed.Out = out[e.DataCentre]
+		all[i] = &changed
 	}
-	slices.Sort(names)
-	return names
+	return blackboard.NewEngines(all)
 }
--- a/controller/jobs/follow.go
+++ b/controller/jobs/follow.go
@@ -7,9 +7,9 @@
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/follow"
 	"github.com/baobablanding/baobablanding/job"
 	"github.com/baobablanding/baobablanding/store"
-	"github.com/baobablanding/baobablanding/timer"
 )
 
 // pollInterval is the time between two readings of the jobs' heads.
@@ -17,23 +17,7 @@
 
 // RunFollower follows the heads of all jobs until ctx is done.
 func (c *Controller) RunFollower(ctx context.Context) {
-	f := store.NewFollower(c.store, job.HeadTable)
-	contact := new(store.Contact)
-	for ctx.Err() == nil {
-		sent := clock.Now()
-		batch, err := f.Next(ctx)
-		if err == nil {
-			c.applyHeads(batch, sent)
-		}
-		lost, again := contact.Note(err)
-		if lost {
-			c.log.Warn().Str("rows", "batch jobs").Err(err).Msg("store is lost")
-		}
-		if again {
-			c.log.Info().Str("rows", "batch jobs").Msg("store is reached again")
-		}
-		timer.Sleep(ctx, pollInterval)
-	}
+	follow.Table(ctx, c.store, job.HeadTable, pollInterval, follow.NewContact(c.log, "batch jobs"), c.applyHeads)
 }
 
 // applyHeads publishes the heads that a reading shows.
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/follow"
 	"github.com/baobablanding/baobablanding/store"
 	"github.com/baobablanding/baobablanding/timer"
 )
@@ -61,29 +62,18 @@
 		c.log.Error().Err(err).Msg("daemon cannot be registered")
 		return
 	}
-	contact := new(store.Contact)
+	contact := follow.NewContact(c.log, "daemon's row")
 	for ctx.Err() == nil {
-		wait := heartbeat
+		wait, sent := heartbeat, clock.Now()
 		_, err := c.store.Commit(ctx, store.Tx{Put: []store.Row{{Key: c.key(), Value: value}}})
 		if err != nil {
 			wait = retryInterval
 		}
-		c.noteContact(contact, err, "daemon's row")
+		contact.Note(err, sent)
 		timer.Sleep(ctx, wait)
 	}
 }
 
-// noteContact logs when the store is lost or reached again.
-func (c *Controller) noteContact(contact *store.Contact, err error, what string) {
-	lost, again := contact.Note(err)
-	if lost {
-		c.log.Warn().Str("rows", what).Err(err).Msg("store is lost")
-	}
-	if again {
-		c.log.Info().Str("rows", what).Msg("store is reached again")
-	}
-}
-
 // Leave removes the daemon's row, so that others take its work over at once.
 func (c *Controller) Leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
@@ -110,16 +100,9 @@
 // RunObserver follows the rows of all daemons until ctx is done.
 func (c *Controller) RunObserver(ctx context.Context) {
 	o := &observer{byID: make(map[string]*seen), last: clock.Now()}
-	f := store.NewFollower(c.store, Table)
-	contact := new(store.Contact)
-	for ctx.Err() == nil {
-		batch, err := f.Next(ctx)
-		c.noteContact(contact, err, "rows of all daemons")
-		if err == nil {
-			c.observe(ctx, o, batch)
-		}
-		timer.Sleep(ctx, readInterval)
-	}
+	follow.Table(ctx, c.store, Table, readInterval, follow.NewContact(c.log, "rows of all daemons"), func(batch store.Batch, _ clock.Instant) {
+		c.observe(ctx, o, batch)
+	})
 }
 
 func (c *Controller) observe(ctx context.Context, o *observer, batch store.Batch) {
--- a/store/follower.go
+++ b/store/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math"
-	"time"
 )
 
 // Batch is what a Follower read.
@@ -19,7 +18,6 @@
 type Follower struct {
 	store   Store
 	table   string
-	wait    time.Duration
 	version int64
 	started bool
 }
@@ -33,7 +31,7 @@
 	if !f.started {
 		return f.whole(ctx)
 	}
-	reading, err := f.store.Changes(ctx, f.table, f.version, f.wait)
+	reading, err := f.store.Changes(ctx, f.table, f.version, 0)
 	if errors.Is(err, ErrHistoryGone) {
 		f.started = false
 		return f.whole(ctx)
@@ -70,18 +68,3 @@
 	f.version, f.started = batch.Version, true
 	return batch, nil
 }
-
-// Contact tells when a store is lost and when it is reached again. It belongs to
-// one goroutine.
-type Contact struct{ isLost bool }
-
-// Note takes in the outcome of a call. It returns whether the store was lost or
-// reached again by it.
-func (c *Contact) Note(err error) (lost, again bool) {
-	if errors.Is(err, context.Canceled) {
-		return false, false
-	}
-	lost, again = err != nil && !c.isLost, err == nil && c.isLost
-	c.isLost = err != nil
-	return lost, again
-}
