--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -51,15 +51,8 @@
 	Kind   Kind
 	// Timeout bounds the wait for the whole answer.
 	Timeout time.Duration
-	// Objective is the latency objective: to the first event of a stream, to
-	// the acceptance of a batch job.
-	Objective time.Duration
-	// MaxGap is the longest good pause between two events of a stream.
-	MaxGap time.Duration
 	// Attempts is the largest number of engines that one request is sent to.
 	Attempts int
-	// Priority is the rank of the route, 0 being the highest.
-	Priority int
 	// Open tells that callers need no key.
 	Open bool
 	// Resumable tells that a stream may go on at another engine.
@@ -116,8 +109,6 @@
 	// ColdRate is the number of requests a second that an engine bears in cold
 	// start, from all callers together.
 	ColdRate float64
-	// MaxConnections is the number of connections that an engine accepts.
-	MaxConnections int
 }
 
 // Workspace is a tenant with its keys and its rate.
@@ -129,8 +120,6 @@
 	Rate float64
 	// Burst is the number of requests that may exceed the rate.
 	Burst float64
-	// Priority is the rank of the workspace, 0 being the highest.
-	Priority int
 }
 
 // Content lists the parts of a configuration.
--- a/controller/jobs/commit.go
+++ b/controller/jobs/commit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // commit writes the results that wait, one transaction a job at a time.
@@ -38,9 +39,7 @@
 
 // reread returns the head after a transaction that failed, or nil.
 func (c *Controller) reread(ctx context.Context, key job.Key) *job.Versioned {
-	select {
-	case <-time.After(commitRetry):
-	case <-ctx.Done():
+	if !timer.Sleep(ctx, commitRetry) {
 		return nil
 	}
 	head, err := c.ledger.Head(ctx, key)
--- a/controller/jobs/own.go
+++ b/controller/jobs/own.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 // reconcile takes in new jobs and drops those that ended or have another owner.
@@ -115,10 +115,7 @@
 		items, err := c.ledger.Items(ctx, o.key, o.head.Chunks)
 		if err != nil {
 			c.log.Warn().Str("job", o.key.ID).Err(err).Msg("items of a batch job were not read")
-			select {
-			case <-time.After(pollInterval):
-			case <-ctx.Done():
-			}
+			timer.Sleep(ctx, pollInterval)
 		}
 		c.post(ctx, func() {
 			o.loading = false
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -110,7 +110,7 @@
 	silence := time.AfterFunc(itemSilence, cancel)
 	defer silence.Stop()
 	answer, err := c.engines.Call(ctx, &relay.Call{
-		ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body,
+		Message:   relay.Message{ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body},
 		Workspace: p.job.key.Workspace, Engine: engine, After: p.last.Load(),
 	})
 	if err != nil {
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/policy/placement"
+	"github.com/baobablanding/baobablanding/timer"
 )
 
 const (
@@ -128,9 +130,7 @@
 	for sequence := int64(1); ; sequence++ {
 		roster := c.board.Roster.Value()
 		interval := max(minInterval, time.Duration(roster.Size())*intervalPerDaemon)
-		select {
-		case <-time.After(interval):
-		case <-ctx.Done():
+		if !timer.Sleep(ctx, interval) {
 			return
 		}
 		c.sum(roster)
@@ -212,9 +212,9 @@
 	if p.Incarnation == roster.Self.Incarnation {
 		return
 	}
-	addr, err := net.ResolveUDPAddr("udp4", p.Address)
+	addr, err := netip.ParseAddrPort(p.Address)
 	if err == nil {
-		_, err = c.conn.WriteToUDP(data, addr)
+		_, err = c.conn.WriteToUDPAddrPort(data, addr)
 	}
 	if err != nil {
 		c.log.Debug().Str("daemon", p.Name).Err(err).Msg("load report was not sent")
--- a/httpserve/client.go
+++ b/httpserve/client.go
@@ -19,8 +19,8 @@
 // identifies the remote service. The library's circuit breaker is off, since
 // the system decides itself when an upstream gets no requests.
 func NewClient(name string) httpc.Service {
-	breaker.NoBreakerFor(name)
-	return httpc.NewServiceWithClient(name, newHTTPClient(false, dialTimeout))
+	service, _ := NewResettableClient(name)
+	return service
 }
 
 // NewSingleUseClient returns an HTTP client that uses a new connection for each
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -40,13 +40,9 @@
 // Identify finds the request's route and workspace. It refuses while the
 // configuration is unknown or may be out of date.
 func (s *Server) Identify(host, path, key string) (*Admission, error) {
-	reading := s.board.Reading.Value()
-	cat := s.board.Catalog.Value()
-	if cat == nil {
-		return nil, result.New(result.ConfigMissing, result.NotRun).After(staleRetry)
-	}
-	if !reading.Within(s.validity, clock.Now()) {
-		return nil, result.New(result.ConfigStale, result.NotRun).After(staleRetry)
+	cat, err := s.current()
+	if err != nil {
+		return nil, err
 	}
 	a := &Admission{Catalog: cat, Route: cat.Route(host, path)}
 	if a.Route == nil {
@@ -57,15 +53,26 @@
 
 // IdentifyWorkspace finds the workspace of a call that belongs to no route.
 func (s *Server) IdentifyWorkspace(key string) (*Admission, error) {
+	cat, err := s.current()
+	if err != nil {
+		return nil, err
+	}
+	a := &Admission{Catalog: cat}
+	return a, a.authenticate(key)
+}
+
+// current returns the configuration in force, or an error while it is unknown or
+// may be out of date.
+func (s *Server) current() (*catalog.Catalog, error) {
+	reading := s.board.Reading.Value()
 	cat := s.board.Catalog.Value()
 	if cat == nil {
 		return nil, result.New(result.ConfigMissing, result.NotRun).After(staleRetry)
 	}
-	if !s.board.Reading.Value().Within(s.validity, clock.Now()) {
+	if !reading.Within(s.validity, clock.Now()) {
 		return nil, result.New(result.ConfigStale, result.NotRun).After(staleRetry)
 	}
-	a := &Admission{Catalog: cat}
-	return a, a.authenticate(key)
+	return cat, nil
 }
 
 func (a *Admission) authenticate(key string) error {
--- a/relay/request.go
+++ b/relay/request.go
@@ -15,18 +15,22 @@
 // unread.
 type Header map[string][]string
 
-// Request is a request from a caller.
-type Request struct {
+// Message is what a caller sends and an engine gets.
+type Message struct {
 	// ID identifies the request.
 	ID   string
 	Host string
-	// Target is the path with the query, as it is passed on.
+	// Target is the path with the query.
 	Target string
 	Method string
-	// Header holds the headers that are passed on.
 	Header Header
 	// Body is the whole body.
 	Body []byte
+}
+
+// Request is a request from a caller.
+type Request struct {
+	Message
 	// Received is when the request arrived.
 	Received clock.Instant
 	// Patience is how long the caller waits, or 0 if it did not say.
@@ -44,13 +48,7 @@
 
 // Call is one request to one engine.
 type Call struct {
-	// ID identifies the request at the engine.
-	ID     string
-	Host   string
-	Target string
-	Method string
-	Header Header
-	Body   []byte
+	Message
 	// Workspace is the tenant that the engine is told, or empty.
 	Workspace string
 	// Engine is the engine that must run the request.
--- a/relay/server.go
+++ b/relay/server.go
@@ -235,10 +235,7 @@
 }
 
 func (r *run) call(engine *blackboard.Engine) *Call {
-	call := &Call{
-		ID: r.ID, Host: r.Host, Target: r.Target, Method: r.Method, Header: r.Header, Body: r.Body,
-		Workspace: r.WorkspaceName(), Engine: engine, After: r.last,
-	}
+	call := &Call{Message: r.Message, Workspace: r.WorkspaceName(), Engine: engine, After: r.last}
 	if r.deadline != 0 {
 		call.Left = max(r.deadline.Sub(clock.Now()), time.Millisecond)
 	}
