--- a/entrytest/online_test.go
+++ b/entrytest/online_test.go
@@ -175,7 +175,7 @@
 	start := time.Now()
 	got := d.send(t.Context(), t, request{path: "/once/a", key: key, header: map[string]string{"Deadline-Ms": "5000"}})
 	if took := time.Since(start); got.status != http.StatusGatewayTimeout || took > 700*time.Millisecond {
-		t.Errorf("status %d after %v, want 504 after 300ms", got.status, took)
+		t.Errorf("status %d after %v, want 504 after 300ms: %s", got.status, took, got.body)
 	}
 }
 
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -89,17 +90,28 @@
 }
 
 // takeToken takes a token of the workspace's rate. It waits a little for tokens
-// that are on their way from the store.
+// that are on their way from the store, and for the share of a workspace that is
+// new in the configuration.
 func (s *Server) takeToken(ctx context.Context, w *catalog.Workspace) error {
 	if w == nil || w.Rate <= 0 {
 		return nil
 	}
 	share := s.board.Shares.Value().ByWorkspace[w.Name]
-	if share == nil {
-		return result.New(result.Starting, result.NotRun).After(minRateRetry)
+	if share != nil && share.Take(share.Grant.Value(), clock.Now()) {
+		share.Asked.Add(1)
+		return nil
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, tokenWait, errTokenWait)
+	defer cancel()
+	if share = s.shareOf(ctx, w.Name); share == nil {
+		return notInTime(ctx, result.New(result.Starting, result.NotRun).After(minRateRetry))
 	}
 	share.Asked.Add(1)
-	var timeout <-chan time.Time
+	return waitForToken(ctx, share, w)
+}
+
+// waitForToken takes a token of the share, once there is one, until ctx is done.
+func waitForToken(ctx context.Context, share *blackboard.Share, w *catalog.Workspace) error {
 	for {
 		snap := share.Grant.Load()
 		now := clock.Now()
@@ -109,17 +121,37 @@
 		if next, empty := snap.Value.Exhausted(now); empty {
 			return rateExceeded(w, "the shared bucket is empty", next.Sub(now))
 		}
-		if timeout == nil {
-			timer := time.NewTimer(tokenWait)
-			defer timer.Stop()
-			timeout = timer.C
+		select {
+		case <-snap.Changed():
+		case <-ctx.Done():
+			return notInTime(ctx, rateExceeded(w, "no token came from the store in time", minRateRetry))
+		}
+	}
+}
+
+// errTokenWait is the cause of the end of a wait for a token.
+var errTokenWait = errors.New("relay: no token in time")
+
+// notInTime returns late if the wait for a token ended, or that the caller left.
+func notInTime(ctx context.Context, late error) error {
+	if errors.Is(context.Cause(ctx), errTokenWait) {
+		return late
+	}
+	return result.New(result.CallerGone, result.NotRun)
+}
+
+// shareOf returns the workspace's share. It waits for one until ctx is done and
+// then returns nil.
+func (s *Server) shareOf(ctx context.Context, workspace string) *blackboard.Share {
+	for {
+		snap := s.board.Shares.Load()
+		if share := snap.Value.ByWorkspace[workspace]; share != nil {
+			return share
 		}
 		select {
 		case <-snap.Changed():
-		case <-timeout:
-			return rateExceeded(w, "no token came from the store in time", minRateRetry)
 		case <-ctx.Done():
-			return result.New(result.CallerGone, result.NotRun)
+			return nil
 		}
 	}
 }
