Let items go on with their next owner where they were, and hand jobs over at a planned stop

The next owner asks for the events after the last one that is saved, so no text joins two runs. A daemon also learns what the shared bucket holds when it takes tokens, so that one that has just started can admit when the store goes away (a test of entry daemons failed with 429).

--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -95,6 +96,19 @@
 	DataCentre string `json:"data_centre"`
 }
 
+// NewIncarnation names one start of the daemon on the VM.
+func NewIncarnation(vm, start string) string { return vm + incarnationMark + start }
+
+// SameVM tells whether the incarnations are starts of the daemon on one VM.
+func SameVM(a, b string) bool {
+	vmA, _, okA := strings.Cut(a, incarnationMark)
+	vmB, _, okB := strings.Cut(b, incarnationMark)
+	return okA && okB && vmA == vmB
+}
+
+// incarnationMark stands between the VM's name and the start's.
+const incarnationMark = "/"
+
 // Roster is the set of entry daemons that run, in the order of their names.
 type Roster struct {
 	// Self is this daemon.
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -76,6 +76,9 @@
 	running    map[int]*progress
 	finished   []job.Finished
 	committing bool
+	saving     bool
+	lastSave   clock.Instant
+	handing    bool // to another daemon
 }
 
 // Run runs items until ctx is done. Then it stops the items that run.
@@ -86,7 +89,11 @@
 		snap := c.board.Jobs.Load()
 		c.reconcile(ctx, snap.Value)
 		c.trim()
-		c.start(ctx)
+		if c.stopping.Load() {
+			c.handOver(ctx)
+		} else {
+			c.start(ctx)
+		}
 		c.publishDemand()
 		select {
 		case <-ticker.C:
@@ -133,5 +140,5 @@
 	}
 }
 
-// Stop stops the starting of items. Those that run go on.
+// Stop hands the jobs over to other daemons. No item starts any more.
 func (c *Controller) Stop() { c.stopping.Store(true) }
--- a/controller/jobs/own.go
+++ b/controller/jobs/own.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
@@ -40,12 +38,14 @@
 			c.load(ctx, o)
 		default:
 			c.commit(ctx, o)
+			c.save(ctx, o)
 		}
 	}
 }
 
 func (c *Controller) adopt(key job.Key, head *job.Versioned) {
-	c.owned[key] = &owned{key: key, head: head, seen: clock.Now(), running: make(map[int]*progress)}
+	now := clock.Now()
+	c.owned[key] = &owned{key: key, head: head, seen: now, lastSave: now, running: make(map[int]*progress)}
 	c.log.Info().Str("job", key.ID).Str("workspace", key.Workspace).Int64("head_version", head.Version).
 		Int("items", head.Total).Int("done", len(head.Done)).Msg("batch job is run here")
 }
@@ -64,6 +64,12 @@
 // succeeds tells whether this daemon takes the job over, since its owner does not
 // run any more.
 func (c *Controller) succeeds(key job.Key, head *job.Versioned) bool {
+	if c.stopping.Load() {
+		return false
+	}
+	if blackboard.SameVM(head.Owner, c.self.Incarnation) {
+		return clock.Since(c.orphaned[key]) >= claimDelay // an earlier start of this daemon
+	}
 	roster := c.board.Roster.Value()
 	if !roster.Known || roster.Has(head.Owner) || !roster.Has(c.self.Incarnation) {
 		delete(c.orphaned, key)
@@ -72,19 +78,7 @@
 	if c.orphaned[key] == 0 {
 		c.orphaned[key] = clock.Now()
 	}
-	if clock.Since(c.orphaned[key]) < claimDelay {
-		return false
-	}
-	var best string
-	var bestHash uint64
-	id := xxhash.Sum64String(key.ID)
-	for i := range roster.Peers {
-		hash := blackboard.Mix(id, xxhash.Sum64String(roster.Peers[i].Incarnation))
-		if best == "" || hash > bestHash {
-			best, bestHash = roster.Peers[i].Incarnation, hash
-		}
-	}
-	return best == c.self.Incarnation
+	return clock.Since(c.orphaned[key]) >= claimDelay && c.successor(key) == c.self.Incarnation
 }
 
 func (c *Controller) claim(ctx context.Context, key job.Key, head *job.Versioned) {
@@ -108,11 +102,12 @@
 	}()
 }
 
-// load reads the items of a job.
+// load reads the items of a job and what is saved of their progress.
 func (c *Controller) load(ctx context.Context, o *owned) {
 	o.loading = true
+	chunks := o.head.Chunks
 	go func() {
-		items, err := c.ledger.Items(ctx, o.key, o.head.Chunks)
+		items, saved, err := c.read(ctx, o.key, chunks)
 		if err != nil {
 			c.log.Warn().Str("job", o.key.ID).Err(err).Msg("items of a batch job were not read")
 			timer.Sleep(ctx, pollInterval)
@@ -120,21 +115,39 @@
 		c.post(ctx, func() {
 			o.loading = false
 			if err == nil {
-				c.loaded(o, items)
+				c.loaded(o, items, saved)
 			}
 		})
 	}()
 }
 
-func (c *Controller) loaded(o *owned, items []job.Item) {
+func (c *Controller) read(ctx context.Context, key job.Key, chunks int) ([]job.Item, []job.Progress, error) {
+	items, err := c.ledger.Items(ctx, key, chunks)
+	if err != nil {
+		return nil, nil, err
+	}
+	saved, err := c.ledger.Progress(ctx, key)
+	return items, saved, err
+}
+
+func (c *Controller) loaded(o *owned, items []job.Item, saved []job.Progress) {
 	o.items = items
 	done := make(map[int]bool)
 	for _, index := range o.head.Done {
 		done[index] = true
 	}
+	reached := make(map[int]job.Progress, len(saved))
+	for _, s := range saved {
+		reached[s.Index] = s
+	}
 	for i := range items {
-		if !done[i] {
-			o.waiting = append(o.waiting, newProgress(o, i))
+		if done[i] {
+			continue
+		}
+		p := newProgress(o, i)
+		if s, ok := reached[i]; ok {
+			p.resume(s)
 		}
+		o.waiting = append(o.waiting, p)
 	}
 }
--- a/controller/jobs/place.go
+++ b/controller/jobs/place.go
@@ -28,7 +28,7 @@
 		c.trimmed[e.ID] = now
 		for _, p := range c.latest(e.ID, excess) {
 			c.log.Info().Str("item", p.item().ID).Str("job", p.job.key.ID).Str("engine", e.ID).
-				Int("engine_busy", e.Busy()).Int64("event", p.last.Load()).Msg("item gives way to online requests")
+				Int("engine_busy", e.Busy()).Int64("event", p.last()).Msg("item gives way to online requests")
 			p.cut = true
 			p.cancel()
 		}
@@ -54,11 +54,7 @@
 // due returns what the order of the item's job depends on.
 func (c *Controller) due(p *progress) due.Job {
 	head := &p.job.head.Head
-	ran := p.ran
-	if p.cancel != nil {
-		ran += clock.Since(p.started)
-	}
-	return due.Job{Due: head.Submitted + head.Due, Remaining: c.runTime.Remaining(ran)}
+	return due.Job{Due: head.Submitted + head.Due, Remaining: c.runTime.Remaining(p.soFar())}
 }
 
 // start gives waiting items to engines with room, in the order of package due.
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -25,50 +23,10 @@
 	itemMethod = "POST"
 )
 
-// progress is what an item has reached. While it runs, only its goroutine uses
-// output and writes last.
-type progress struct {
-	job     *owned
-	index   int
-	output  []string     // data of the events so far
-	last    atomic.Int64 // number of the last event
-	failed  int          // answers that count as failed attempts
-	refused map[string]clock.Instant
-
-	ran time.Duration // of its runs before this one
-
-	engine  string             // where it runs
-	cancel  context.CancelFunc // nil while it does not run
-	started clock.Instant
-	cut     bool
-}
-
-func newProgress(o *owned, index int) *progress {
-	p := &progress{job: o, index: index, refused: make(map[string]clock.Instant)}
-	p.last.Store(-1)
-	return p
-}
-
-func (p *progress) item() *job.Item { return &p.job.items[p.index] }
-
-// wasRefused tells whether the engine refused or broke off the item lately.
-func (p *progress) wasRefused(e *blackboard.Engine) bool {
-	at, ok := p.refused[e.ID]
-	return ok && clock.Since(at) < time.Second
-}
-
-func (p *progress) result(state job.State) job.Finished {
-	r := job.Result{ID: p.item().ID, State: state}
-	if state == job.Completed {
-		r.Output = strings.Join(p.output, "\n")
-	}
-	return job.Finished{Index: p.index, Tokens: p.item().Tokens, Result: r}
-}
-
 // logItem starts a log line about a run of the item.
 func (c *Controller) logItem(p *progress, engine *blackboard.Engine, err error) *log.Entry {
 	return c.log.Warn().Str("item", p.item().ID).Str("job", p.job.key.ID).Str("engine", engine.ID).
-		Int64("event", p.last.Load()).Int("engine_busy", engine.Busy()).Err(err)
+		Int64("event", p.last()).Int("engine_busy", engine.Busy()).Err(err)
 }
 
 // ending is how one run of an item ended.
@@ -111,7 +69,7 @@
 	defer silence.Stop()
 	answer, err := c.engines.Call(ctx, &relay.Call{
 		Message:   relay.Message{ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body},
-		Workspace: p.job.key.Workspace, Engine: engine, After: p.last.Load(),
+		Workspace: p.job.key.Workspace, Engine: engine, After: p.last(),
 	})
 	if err != nil {
 		var call *relay.CallError
@@ -150,11 +108,7 @@
 		}
 		silence.Reset(itemSilence)
 		for _, e := range events {
-			if e.Number < 0 || e.Number <= p.last.Load() {
-				continue
-			}
-			p.output = append(p.output, string(e.Data))
-			p.last.Store(e.Number)
+			p.add(e)
 		}
 	}
 }
@@ -164,7 +118,7 @@
 	o := p.job
 	c.running--
 	delete(o.running, p.index)
-	p.ran += clock.Since(p.started)
+	p.ran = p.soFar()
 	p.cancel = nil
 	if c.owned[o.key] != o {
 		return
--- a/controller/rates/account.go
+++ b/controller/rates/account.go
@@ -132,7 +132,7 @@
 	}
 	unused := a.share.Grant.Value().Close()
 	a.debt -= min(unused, a.debt)
-	estimate := a.estimate(a.share, limit)
+	estimate := a.estimate(a.share.Estimate.Value(), a.share, limit)
 	tokens := estimate.Part(a.board.Roster.Value().Size())
 	if tokens == 0 {
 		wait := max(estimate.Wait(limit), minWait)
@@ -154,6 +154,9 @@
 		a.lost = 0
 		a.log.Info().Str("workspace", a.workspace).Int("debt", a.debt).Msg("shared rate is reached again")
 	}
+	a.share.Estimate.Update(func(old bucket.Estimate) bucket.Estimate {
+		return a.estimate(old, a.share, limit).AtLeast(a.state.Tokens)
+	})
 	paid := min(max(o.taken-want, 0), a.debt)
 	a.debt -= paid
 	tokens := o.taken - paid + a.share.Grant.Value().Close()
--- a/controller/rates/rates.go
+++ b/controller/rates/rates.go
@@ -89,15 +89,16 @@
 	cat := c.board.Catalog.Value()
 	for name, share := range c.board.Shares.Value().ByWorkspace {
 		if w := cat.Workspace(name); w != nil {
-			share.Estimate.Publish(c.estimate(share, limitOf(w)))
+			share.Estimate.Update(func(old bucket.Estimate) bucket.Estimate { return c.estimate(old, share, limitOf(w)) })
 		}
 	}
 }
 
-// estimate returns the estimate of the workspace's shared bucket as it is now.
-func (c *Controller) estimate(share *blackboard.Share, limit bucket.Limit) bucket.Estimate {
+// estimate returns the estimate of the share's bucket as it is now, from an older
+// one.
+func (c *Controller) estimate(old bucket.Estimate, share *blackboard.Share, limit bucket.Limit) bucket.Estimate {
 	admitted := share.Admitted.Load() + share.PeersAdmitted.Load()
-	return share.Estimate.Value().Next(limit, c.board.HeardPart(), admitted, clock.Now())
+	return old.Next(limit, c.board.HeardPart(), admitted, clock.Now())
 }
 
 func limitOf(w *catalog.Workspace) bucket.Limit {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -112,7 +112,8 @@
 	rows := platform.NewStore(settings.Store)
 	engines := platform.NewEngines()
 	self := blackboard.Peer{
-		Name: settings.Name, Incarnation: uuid.NewString(), Address: settings.Peer, DataCentre: settings.DataCentre,
+		Name: settings.Name, Incarnation: blackboard.NewIncarnation(settings.Name, uuid.NewString()),
+		Address: settings.Peer, DataCentre: settings.DataCentre,
 	}
 	e.board.Roster.Publish(&blackboard.Roster{Self: self})
 	socket, err := loads.Listen(settings.Peer)
--- a/policy/bucket/estimate.go
+++ b/policy/bucket/estimate.go
@@ -31,6 +31,13 @@
 	return next
 }
 
+// AtLeast returns the estimate with no fewer than the given tokens, which the
+// shared bucket was just seen to hold.
+func (e Estimate) AtLeast(tokens float64) Estimate {
+	e.tokens = math.Max(e.tokens, tokens)
+	return e
+}
+
 // Part returns how many tokens one of the daemons may use at once: its even part,
 // and at least one if there is one, so that few callers need not wait.
 func (e Estimate) Part(daemons int) int {
