Let items use every free slot of an engine

Cause: items left one slot of each engine free for online requests, 12 of 96 slots in the troughs of online traffic, while items were late at the peaks after. Items give way within 160 ms once an engine has more requests than slots, and the aim of an online request leaves that time. The test that a slot stays free is replaced by one that items take free slots only, and the test of entry daemons now waits for items in all slots before online requests come.

--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -20,9 +20,6 @@
 const (
 	// tick is the time between two looks at the engines.
 	tick = 40 * time.Millisecond
-	// reserve is the number of slots of an engine that items leave free for online
-	// requests.
-	reserve = 1
 	// startValidity is how old the last reading of the store may be when an item
 	// is started: an engine that leaves, a data centre that is taken out or the
 	// end of a job would be noticed too late.
--- a/controller/jobs/place.go
+++ b/controller/jobs/place.go
@@ -105,8 +105,7 @@
 			Daemons: c.board.Roster.Value().Size(), Random: rand.Float64, Tried: p.wasRefused,
 			Homes: c.board.Homes.Value(),
 		},
-		Reserve: reserve,
-		Rivals:  int(c.board.Rivals.Load()),
+		Rivals: int(c.board.Rivals.Load()),
 	}
 	engine := placement.ChooseForBatch(c.board.Engines.Value().OfService(service.Name), &query)
 	if engine == nil {
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -5,8 +5,6 @@
 // BatchQuery is what a batch item asks of an engine.
 type BatchQuery struct {
 	Query
-	// Reserve is the number of slots that are left free for online requests.
-	Reserve int
 	// Rivals is the number of other daemons that look for slots too.
 	Rivals int
 }
@@ -21,7 +19,7 @@
 		if !e.Usable() || e.MissingSince != 0 || e.Load.Avoided(q.Now) || q.Tried != nil && q.Tried(e) {
 			continue
 		}
-		spare := e.Slots - q.Reserve - e.Busy()
+		spare := e.Slots - e.Busy()
 		if !q.Homes[e.ID] {
 			spare--
 		}
