--- a/entrytest/explain_test.go
+++ b/entrytest/explain_test.go
@@ -2,69 +2,15 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/baobablanding/baobablanding/ctl"
-	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/standin"
 )
 
-// settingsFile is the settings of a process as the platform writes them.
-const settingsFile = `
-nodeName: %q
-ip: %q
-zone: "dc-1"
-listen: {front: %q, readiness: %q}
-internalPorts: [%s, %s]
-limits: {memoryMb: 200}
-bounds: {drainMs: 2000, graceS: 8, revokeMs: 3000, statusS: 120}
-platform: {address: %q}
-`
-
-// startProcess starts an entry daemon as a process of its own, whose output goes
-// to a file in the directory.
-func (f *fleet) startProcess(t *testing.T, logs, name string) *entry {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "baobab-entry")
-	if out, err := exec.Command("go", "build", "-o", program, "../cmd/baobab-entry").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v %s", err, out)
-	}
-	d := &entry{settings: platform.Settings{Name: name, Front: address(t), Readiness: address(t)}}
-	host, peerPort, _ := net.SplitHostPort(address(t))
-	_, metricsPort, _ := net.SplitHostPort(address(t))
-	settings := filepath.Join(t.TempDir(), "settings.yaml")
-	content := fmt.Sprintf(settingsFile, name, host, d.settings.Front, d.settings.Readiness, peerPort, metricsPort,
-		strings.TrimPrefix(f.store.URL(), "http://"))
-	if err := os.WriteFile(settings, []byte(content), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	output, err := os.Create(filepath.Join(logs, name+".log"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
-	cmd.Stdout, cmd.Stderr = output, output
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		_ = cmd.Process.Signal(syscall.SIGKILL)
-		_ = cmd.Wait()
-		output.Close()
-	})
-	eventually(t, "process is ready", d.ready)
-	return d
-}
-
 // story returns what baobabctl tells of the id from the log files alone.
 func story(t *testing.T, logs, id string) string {
 	t.Helper()
@@ -103,7 +49,10 @@
 		}
 	})
 	logs := t.TempDir()
-	d := f.startProcess(t, logs, "entry-1")
+	p := newProcess(t, buildProgram(t), logs, "entry-1", strings.TrimPrefix(f.store.URL(), "http://"))
+	p.start()
+	d := p.entry
+	eventually(t, "process is ready", d.ready)
 
 	d.send(t.Context(), t, request{path: "/once/a", id: "broken-stream", key: key})
 	d.submit(t, "job", 3, 10)
--- /dev/null
+++ b/entrytest/process_test.go
@@ -0,0 +1,131 @@
+package entrytest
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/platform"
+)
+
+// settingsFile is the settings of a process as the platform writes them.
+const settingsFile = `
+nodeName: %q
+ip: %q
+zone: "dc-1"
+listen: {front: %q, readiness: %q}
+internalPorts: [%s, %s]
+limits: {memoryMb: 200}
+bounds: {drainMs: 2000, graceS: 8, revokeMs: 3000, statusS: 120}
+platform: {address: %q}
+`
+
+// buildProgram builds the entry daemon and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "baobab-entry")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/baobab-entry").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v %s", err, out)
+	}
+	return program
+}
+
+// process is an entry daemon as a process of its own, whose output is appended to
+// a file.
+type process struct {
+	*entry
+	t        *testing.T
+	program  string
+	settings string
+	output   *os.File
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// newProcess prepares a daemon that reaches the store at the address. It ends
+// with the test.
+func newProcess(t *testing.T, program, logs, name, store string) *process {
+	t.Helper()
+	d := &entry{settings: platform.Settings{Name: name, Front: address(t), Readiness: address(t)}}
+	host, peerPort, _ := net.SplitHostPort(address(t))
+	_, metricsPort, _ := net.SplitHostPort(address(t))
+	p := &process{entry: d, t: t, program: program, settings: filepath.Join(t.TempDir(), name+".yaml")}
+	content := fmt.Sprintf(settingsFile, name, host, d.settings.Front, d.settings.Readiness, peerPort, metricsPort, store)
+	if err := os.WriteFile(p.settings, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var err error
+	if p.output, err = os.Create(filepath.Join(logs, name+".log")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.kill()
+		p.output.Close()
+	})
+	return p
+}
+
+// start starts the program unless it runs.
+func (p *process) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return
+	}
+	cmd := exec.Command(p.program)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
+	cmd.Stdout, cmd.Stderr = p.output, p.output
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		p.t.Errorf("start %s: %v", p.entry.settings.Name, err)
+		return
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+}
+
+// signal sends the signal if the program runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the program at once and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait(time.Minute)
+}
+
+// wait waits until the program has ended and tells whether it did.
+func (p *process) wait(d time.Duration) bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	if done == nil {
+		return true
+	}
+	select {
+	case <-done:
+	case <-time.After(d):
+		return false
+	}
+	p.mu.Lock()
+	p.cmd, p.done = nil, nil
+	p.mu.Unlock()
+	return true
+}
