--- a/entrytest/soak_faults_test.go
+++ b/entrytest/soak_faults_test.go
@@ -33,7 +33,7 @@
 func (s *soak) schedule(random *rand.Rand, length time.Duration) []disturbance {
 	kinds := []func(*rand.Rand) disturbance{
 		s.storeLink, s.storeLink, s.engineLink, s.frontLink, s.killOne, s.killOne, s.stopOne, s.stopOne, s.pauseOne, s.pauseOne,
-		s.killAll, s.storeFault, s.storeFault, s.withdraw, s.configuration, s.drainEngine,
+		s.killAll, s.storeFault, s.storeFault, s.withdraw, s.withdrawBehindCut, s.configuration, s.drainEngine,
 	}
 	var all []disturbance
 	for range minDisturbances + random.IntN(maxDisturbances-minDisturbances+1) {
@@ -161,6 +161,18 @@
 	return disturbance{name: "withdraw a key", length: minLength, begin: s.withdrawKey}
 }
 
+// withdrawBehindCut takes a key away while daemons do not reach the store.
+func (s *soak) withdrawBehindCut(random *rand.Rand) disturbance {
+	d := s.storeLink(random)
+	cut := d.begin
+	d.name, d.length = "withdraw a key behind "+d.name, maxLength
+	d.begin = func() {
+		cut()
+		s.withdrawKey()
+	}
+	return d
+}
+
 func (s *soak) configuration(*rand.Rand) disturbance {
 	return disturbance{name: "new configuration", length: minLength, begin: func() {
 		s.mu.Lock()
