--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 // methodLoads is the notification that carries a LoadReport in a datagram.
@@ -27,27 +25,32 @@
 	Admitted map[string]int64 `json:"admitted,omitempty"`
 }
 
+// loadNotification is a JSON-RPC notification. It is encoded and decoded as one
+// value, since jsonrpc2.Request parses its parameters twice and a daemon receives
+// hundreds of reports a second.
+type loadNotification struct {
+	Version string     `json:"jsonrpc"`
+	Method  string     `json:"method"`
+	Params  LoadReport `json:"params"`
+}
+
 // EncodeLoadReport returns the datagram that carries the report.
 func EncodeLoadReport(r LoadReport) ([]byte, error) {
-	req := jsonrpc2.Request{Method: methodLoads, Notif: true}
-	if err := req.SetParams(r); err != nil {
+	data, err := json.Marshal(loadNotification{Version: "2.0", Method: methodLoads, Params: r})
+	if err != nil {
 		return nil, fmt.Errorf("encode load report: %w", err)
 	}
-	return req.MarshalJSON()
+	return data, nil
 }
 
 // DecodeLoadReport returns the report that the datagram carries.
 func DecodeLoadReport(data []byte) (LoadReport, error) {
-	var req jsonrpc2.Request
-	if err := req.UnmarshalJSON(data); err != nil {
-		return LoadReport{}, fmt.Errorf("decode datagram: %w", err)
-	}
-	var r LoadReport
-	if req.Method != methodLoads || req.Params == nil {
-		return LoadReport{}, fmt.Errorf("datagram of unknown method %q", req.Method)
-	}
-	if err := json.Unmarshal(*req.Params, &r); err != nil {
+	var n loadNotification
+	if err := json.Unmarshal(data, &n); err != nil {
 		return LoadReport{}, fmt.Errorf("decode load report: %w", err)
 	}
-	return r, nil
+	if n.Method != methodLoads {
+		return LoadReport{}, fmt.Errorf("datagram of unknown method %q", n.Method)
+	}
+	return n.Params, nil
 }
--- /dev/null
+++ b/peer/loadreport_test.go
@@ -0,0 +1,31 @@
+package peer
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+func TestLoadReportIsANotification(t *testing.T) {
+	want := LoadReport{
+		From: "vm/1", Sequence: 7, Waiting: 2,
+		Engines: map[string][3]int64{"i-1": {1, 2, 3}}, Admitted: map[string]int64{"w": 5},
+	}
+	data, err := EncodeLoadReport(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var req jsonrpc2.Request
+	if err := req.UnmarshalJSON(data); err != nil || req.Method != methodLoads || !req.Notif {
+		t.Errorf("not a notification: %+v %v", req, err)
+	}
+	if got, err := DecodeLoadReport(data); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded %+v, %v", got, err)
+	}
+	for _, bad := range []string{"", "{}", `{"method":"other","params":{}}`, `{"method":"loads","params":[]}`} {
+		if _, err := DecodeLoadReport([]byte(bad)); err == nil {
+			t.Errorf("%q is taken for a report", bad)
+		}
+	}
+}
