Send callers to other daemons soon when one has lost the store

Change: a daemon whose last reading is older than 0.36 of the time for withdrawn keys is not ready; a refusal for an unconfirmed configuration closes the connection and tells the caller to come back after 20 ms if another daemon told lately that it may serve, after 500 ms otherwise (then the store is away for all). Ruled out: small VMs (late requests are spread evenly) and first events (83 of 6,700 were late in the daemons' logs).

--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -39,6 +39,9 @@
 	Demand Section[Demand]
 	// Rivals is the number of other daemons on which batch work waits.
 	Rivals atomic.Int64
+	// Serving is the number of other daemons that told lately that they may use
+	// their configuration.
+	Serving atomic.Int64
 	// Heard is the number of daemons that told of their load lately, this one
 	// included.
 	Heard atomic.Int64
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -32,9 +32,10 @@
 
 // Controller keeps the peers' part of the engines' loads.
 type Controller struct {
-	board *blackboard.Entry
-	conn  *net.UDPConn
-	log   *log.Logger
+	board    *blackboard.Entry
+	conn     *net.UDPConn
+	validity time.Duration // of a reading of the configuration
+	log      *log.Logger
 
 	seen [2]uint64       // versions of the engines and the daemons behind Homes
 	told map[string]told // by workspace; belongs to the sender
@@ -60,10 +61,11 @@
 	return net.ListenUDP("udp4", addr)
 }
 
-// New returns the controller that uses the socket.
-func New(board *blackboard.Entry, conn *net.UDPConn, logger *log.Logger) *Controller {
+// New returns the controller that uses the socket. A configuration may be used for
+// validity after it was asked for.
+func New(board *blackboard.Entry, conn *net.UDPConn, validity time.Duration, logger *log.Logger) *Controller {
 	return &Controller{
-		board: board, conn: conn, log: logger, told: make(map[string]told),
+		board: board, conn: conn, validity: validity, log: logger, told: make(map[string]told),
 		reports: make(map[string]*report), admitted: make(map[string]map[string]int64),
 	}
 }
@@ -166,7 +168,7 @@
 func (c *Controller) sum(roster *blackboard.Roster) {
 	now := clock.Now()
 	online, batch := make(map[string]int64), make(map[string]int64)
-	waiting := 0
+	waiting, serving := 0, 0
 	c.mu.Lock()
 	for from, r := range c.reports {
 		if now.Sub(r.at) > maxAge || !roster.Has(from) {
@@ -176,6 +178,9 @@
 		if r.Waiting > 0 {
 			waiting++
 		}
+		if r.Serving {
+			serving++
+		}
 		for id, counts := range r.Engines {
 			online[id] += counts[0]
 			batch[id] += counts[1]
@@ -194,6 +199,7 @@
 	c.mu.Unlock()
 	c.board.Rivals.Store(int64(waiting))
 	c.board.Heard.Store(int64(heard) + 1)
+	c.board.Serving.Store(int64(serving))
 }
 
 // report returns what this daemon tells the others.
@@ -203,6 +209,7 @@
 		From:     roster.Self.Incarnation,
 		Sequence: sequence,
 		Waiting:  c.board.Demand.Value().Waiting,
+		Serving:  c.board.Reading.Value().Within(c.validity, now),
 		Engines:  make(map[string][3]int64),
 		Admitted: c.admissions(),
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,6 +17,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/controller/directory"
 	"github.com/baobablanding/baobablanding/controller/jobs"
 	"github.com/baobablanding/baobablanding/controller/loads"
@@ -35,6 +36,9 @@
 	// which a daemon trusts its last reading of the configuration. The rest covers
 	// a feed of the store that is late.
 	keyValidityPart = 0.7
+	// readyPart is the part of that time after which a daemon that does not reach
+	// the store is not ready: the balancer takes seconds to send callers elsewhere.
+	readyPart = 0.36
 	// memoryPart is the part of the VM's memory limit that the runtime keeps to.
 	memoryPart = 0.7
 	// entryLeaveTime is how long a leaving entry daemon still accepts connections
@@ -49,6 +53,7 @@
 // Entry is a running entry daemon.
 type Entry struct {
 	board       *blackboard.Entry
+	readyAge    time.Duration // of the last reading
 	controllers *group
 	heartbeat   *group
 	roster      *roster.Controller
@@ -109,6 +114,7 @@
 }
 
 func (e *Entry) start(settings platform.Settings) error {
+	e.readyAge = time.Duration(float64(settings.KeyGrace) * readyPart)
 	rows := platform.NewStore(settings.Store)
 	engines := platform.NewEngines()
 	self := blackboard.Peer{
@@ -124,7 +130,8 @@
 	e.roster = roster.New(e.board, rows, self, e.log)
 	e.jobs = jobs.New(e.board, rows, engines, self, e.log)
 	dir := directory.New(e.board, rows, platform.Decoder{}, e.log)
-	load := loads.New(e.board, socket, e.log)
+	validity := time.Duration(float64(settings.KeyGrace) * keyValidityPart)
+	load := loads.New(e.board, socket, validity, e.log)
 	e.heartbeat.run(e.roster.RunHeartbeat)
 	for _, run := range []func(context.Context){
 		dir.RunOperators, dir.RunEngines, e.roster.RunObserver, load.RunReceiver, load.RunSender,
@@ -132,7 +139,6 @@
 	} {
 		e.controllers.run(run)
 	}
-	validity := time.Duration(float64(settings.KeyGrace) * keyValidityPart)
 	online := relay.NewServer(e.board, engines, settings.DataCentre, validity, relay.NewMetrics(reg), e.log)
 	return e.listen(settings, platform.NewFront(online, relay.NewJobs(online, job.NewLedger(rows), self)), reg)
 }
@@ -162,7 +168,7 @@
 // ready tells whether the daemon can serve new callers.
 func (e *Entry) ready() bool {
 	return e.board.Phase.Value() == blackboard.Serving && e.board.Catalog.Value() != nil &&
-		len(e.board.Engines.Value().All) > 0
+		e.board.Reading.Value().Within(e.readyAge, clock.Now()) && len(e.board.Engines.Value().All) > 0
 }
 
 // Stop implements Process. The balancer and the callers go elsewhere, other
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -15,9 +15,11 @@
 	// tokenWait is how long a request waits for a token of its workspace's rate
 	// that is on the way from the store.
 	tokenWait = 120 * time.Millisecond
-	// staleRetry is when a caller should come back to a daemon that has lost the
-	// store.
+	// staleRetry is when a caller should come back after a daemon that has lost the
+	// store, if no other daemon is known to serve.
 	staleRetry = 500 * time.Millisecond
+	// elsewhereRetry is when it should come back if another one serves.
+	elsewhereRetry = 20 * time.Millisecond
 	// minRateRetry is the shortest time after which a caller over its rate
 	// should come back.
 	minRateRetry = 200 * time.Millisecond
@@ -68,14 +70,23 @@
 	reading := s.board.Reading.Value()
 	cat := s.board.Catalog.Value()
 	if cat == nil {
-		return nil, result.New(result.ConfigMissing, result.NotRun).After(staleRetry)
+		return nil, s.elsewhere(result.ConfigMissing)
 	}
 	if !reading.Within(s.validity, clock.Now()) {
-		return nil, result.New(result.ConfigStale, result.NotRun).After(staleRetry)
+		return nil, s.elsewhere(result.ConfigStale)
 	}
 	return cat, nil
 }
 
+// elsewhere returns the refusal of a daemon that may not use its configuration.
+func (s *Server) elsewhere(code result.Code) error {
+	wait := staleRetry
+	if s.board.Serving.Load() > 0 {
+		wait = elsewhereRetry
+	}
+	return result.New(code, result.NotRun).After(wait).AskElsewhere()
+}
+
 func (a *Admission) authenticate(key string) error {
 	if !a.Catalog.Keyed() || a.Route != nil && a.Route.Open {
 		return nil
--- a/result/error.go
+++ b/result/error.go
@@ -40,6 +40,8 @@
 	Verdict Verdict
 	// RetryAfter is the time after which a retry may succeed, or zero.
 	RetryAfter time.Duration
+	// Elsewhere tells that another daemon may serve the caller.
+	Elsewhere bool
 }
 
 // Error returns the name, number and detail of e.
@@ -70,6 +72,13 @@
 	return &c
 }
 
+// AskElsewhere returns a copy of e that asks the caller to leave this daemon.
+func (e *Error) AskElsewhere() *Error {
+	c := *e
+	c.Elsewhere = true
+	return &c
+}
+
 // WithVerdict returns a copy of e with the verdict v, for a request whose last
 // attempt is not the only one.
 func (e *Error) WithVerdict(v Verdict) *Error {
