Run batch items while the store is away for all daemons

The bound is there because a daemon that alone does not reach the store misses engines that leave and jobs that end; when nobody reaches it, nobody is told of either.

--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -39,9 +39,9 @@
 	Demand Section[Demand]
 	// Rivals is the number of other daemons on which batch work waits.
 	Rivals atomic.Int64
-	// Serving is the number of other daemons that told lately that they may use
-	// their configuration.
-	Serving atomic.Int64
+	// PeersRead is the instant of the last reading of the configuration that
+	// another daemon told of, or 0.
+	PeersRead atomic.Int64
 	// Heard is the number of daemons that told of their load lately, this one
 	// included.
 	Heard atomic.Int64
@@ -68,6 +68,12 @@
 	return time.Duration(int64(clock.Now()) + b.storeOffset.Load())
 }
 
+// PeersReadWithin tells whether another daemon reached the store less than age ago.
+func (b *Entry) PeersReadWithin(age time.Duration) bool {
+	at := clock.Instant(b.PeersRead.Load())
+	return at != 0 && clock.Since(at) < age
+}
+
 // HeardPart returns the part of the daemons that told of their load lately.
 func (b *Entry) HeardPart() float64 {
 	return min(float64(b.Heard.Load())/float64(b.Roster.Value().Size()), 1)
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -24,6 +24,9 @@
 	// is started: an engine that leaves, a data centre that is taken out or the
 	// end of a job would be noticed too late.
 	startValidity = 1800 * time.Millisecond
+	// heardForAll is the part of the daemons that must be heard to tell that the
+	// store is away for all.
+	heardForAll = 0.65
 	// claimDelay is how long an owner must be missing before its job is taken over:
 	// a daemon that has just started may own jobs before others know of it.
 	claimDelay = time.Second
@@ -51,6 +54,7 @@
 	running  int
 	runTime  due.RunTime
 	stopping atomic.Bool
+	outage   bool // the store is away for all daemons
 }
 
 // New returns the controller of the daemon.
--- a/controller/jobs/place.go
+++ b/controller/jobs/place.go
@@ -59,7 +59,7 @@
 
 // start gives waiting items to engines with room, in the order of package due.
 func (c *Controller) start(ctx context.Context) {
-	if c.stopping.Load() || !c.board.Reading.Value().Within(startValidity, clock.Now()) {
+	if !c.mayStart() {
 		return
 	}
 	var jobs []*owned
@@ -82,6 +82,20 @@
 	}
 }
 
+// mayStart tells whether items may be started. A daemon that alone does not reach
+// the store may miss what others were told. While the store is away for all, nobody
+// can be told anything, and items use the engines that online requests leave.
+func (c *Controller) mayStart() bool {
+	recent := c.board.Reading.Value().Within(startValidity, clock.Now())
+	outage := !recent && c.board.HeardPart() >= heardForAll && !c.board.PeersReadWithin(startValidity)
+	if outage != c.outage {
+		c.outage = outage
+		c.log.Info().Bool("away", outage).Float64("heard_part", c.board.HeardPart()).
+			Dur("reading_age", clock.Since(c.board.Reading.Value().Sent)).Msg("items run without the store")
+	}
+	return recent || outage
+}
+
 // startItem starts the job's next item and tells whether an engine had room.
 func (c *Controller) startItem(ctx context.Context, o *owned) bool {
 	cat := c.board.Catalog.Value()
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -32,10 +32,9 @@
 
 // Controller keeps the peers' part of the engines' loads.
 type Controller struct {
-	board    *blackboard.Entry
-	conn     *net.UDPConn
-	validity time.Duration // of a reading of the configuration
-	log      *log.Logger
+	board *blackboard.Entry
+	conn  *net.UDPConn
+	log   *log.Logger
 
 	seen [2]uint64       // versions of the engines and the daemons behind Homes
 	told map[string]told // by workspace; belongs to the sender
@@ -52,6 +51,11 @@
 	at clock.Instant
 }
 
+// read returns when the daemon asked for its last reading of the configuration.
+func (r *report) read() clock.Instant {
+	return r.at.Add(-time.Duration(r.ReadingAge) * time.Millisecond)
+}
+
 // Listen opens the daemon's socket.
 func Listen(address string) (*net.UDPConn, error) {
 	addr, err := net.ResolveUDPAddr("udp4", address)
@@ -61,11 +65,10 @@
 	return net.ListenUDP("udp4", addr)
 }
 
-// New returns the controller that uses the socket. A configuration may be used for
-// validity after it was asked for.
-func New(board *blackboard.Entry, conn *net.UDPConn, validity time.Duration, logger *log.Logger) *Controller {
+// New returns the controller that uses the socket.
+func New(board *blackboard.Entry, conn *net.UDPConn, logger *log.Logger) *Controller {
 	return &Controller{
-		board: board, conn: conn, validity: validity, log: logger, told: make(map[string]told),
+		board: board, conn: conn, log: logger, told: make(map[string]told),
 		reports: make(map[string]*report), admitted: make(map[string]map[string]int64),
 	}
 }
@@ -168,7 +171,8 @@
 func (c *Controller) sum(roster *blackboard.Roster) {
 	now := clock.Now()
 	online, batch := make(map[string]int64), make(map[string]int64)
-	waiting, serving := 0, 0
+	waiting := 0
+	var read clock.Instant
 	c.mu.Lock()
 	for from, r := range c.reports {
 		if now.Sub(r.at) > maxAge || !roster.Has(from) {
@@ -178,9 +182,7 @@
 		if r.Waiting > 0 {
 			waiting++
 		}
-		if r.Serving {
-			serving++
-		}
+		read = max(read, r.read())
 		for id, counts := range r.Engines {
 			online[id] += counts[0]
 			batch[id] += counts[1]
@@ -199,19 +201,19 @@
 	c.mu.Unlock()
 	c.board.Rivals.Store(int64(waiting))
 	c.board.Heard.Store(int64(heard) + 1)
-	c.board.Serving.Store(int64(serving))
+	c.board.PeersRead.Store(int64(read))
 }
 
 // report returns what this daemon tells the others.
 func (c *Controller) report(roster *blackboard.Roster, sequence int64) peer.LoadReport {
 	now := clock.Now()
 	r := peer.LoadReport{
-		From:     roster.Self.Incarnation,
-		Sequence: sequence,
-		Waiting:  c.board.Demand.Value().Waiting,
-		Serving:  c.board.Reading.Value().Within(c.validity, now),
-		Engines:  make(map[string][3]int64),
-		Admitted: c.admissions(),
+		From:       roster.Self.Incarnation,
+		Sequence:   sequence,
+		Waiting:    c.board.Demand.Value().Waiting,
+		ReadingAge: now.Sub(c.board.Reading.Value().Sent).Milliseconds(),
+		Engines:    make(map[string][3]int64),
+		Admitted:   c.admissions(),
 	}
 	for _, e := range c.board.Engines.Value().All {
 		counts := [3]int64{e.Load.Online.Load(), e.Load.Batch.Load(), e.Load.Own.Requests(now)}
--- a/controller/loads/loads_test.go
+++ b/controller/loads/loads_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"testing"
-	"time"
 
 	"github.com/phuslu/log"
 
@@ -21,7 +20,7 @@
 	self, other := blackboard.Peer{Incarnation: "self"}, blackboard.Peer{Incarnation: "other"}
 	board.Roster.Publish(&blackboard.Roster{Self: self, Peers: []blackboard.Peer{self, other}, Known: true})
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	return New(board, nil, time.Second, logger), e
+	return New(board, nil, logger), e
 }
 
 func loadReport(sequence int64, counts [3]int64) peer.LoadReport {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -130,8 +130,7 @@
 	e.roster = roster.New(e.board, rows, self, e.log)
 	e.jobs = jobs.New(e.board, rows, engines, self, e.log)
 	dir := directory.New(e.board, rows, platform.Decoder{}, e.log)
-	validity := time.Duration(float64(settings.KeyGrace) * keyValidityPart)
-	load := loads.New(e.board, socket, validity, e.log)
+	load := loads.New(e.board, socket, e.log)
 	e.heartbeat.run(e.roster.RunHeartbeat)
 	for _, run := range []func(context.Context){
 		dir.RunOperators, dir.RunEngines, e.roster.RunObserver, load.RunReceiver, load.RunSender,
@@ -139,6 +138,7 @@
 	} {
 		e.controllers.run(run)
 	}
+	validity := time.Duration(float64(settings.KeyGrace) * keyValidityPart)
 	online := relay.NewServer(e.board, engines, settings.DataCentre, validity, relay.NewMetrics(reg), e.log)
 	return e.listen(settings, platform.NewFront(online, relay.NewJobs(online, job.NewLedger(rows), self)), reg)
 }
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -16,8 +16,9 @@
 	Sequence int64 `json:"seq"`
 	// Waiting is the number of batch items that wait for an engine.
 	Waiting int `json:"waiting"`
-	// Serving tells that the daemon may use its configuration.
-	Serving bool `json:"serving,omitempty"`
+	// ReadingAge is how long ago, in ms, the daemon asked for its last reading of
+	// the configuration.
+	ReadingAge int64 `json:"reading_age_ms"`
 	// Engines holds, for each engine that has any, the online requests and the
 	// batch items of the daemon, and the requests that the engine reported to it a
 	// moment ago.
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -81,7 +81,7 @@
 // elsewhere returns the refusal of a daemon that may not use its configuration.
 func (s *Server) elsewhere(code result.Code) error {
 	wait := staleRetry
-	if s.board.Serving.Load() > 0 {
+	if s.board.PeersReadWithin(s.validity) {
 		wait = elsewhereRetry
 	}
 	return result.New(code, result.NotRun).After(wait).AskElsewhere()
