Judge engines by what their answers show, and let daemons agree on it

Cause: an answer with an engine's own failure that must be passed on counted as a success, a caller that left a silent stream left no evidence, and each good answer forgot all failures; an engine that failed 40% of its requests got its full share (test: an engine that fails every request got half of 40 requests). Slow engines kept their items. Change: failures weigh twice as much as answers and are forgotten one by one; a silence of 0.9 s counts; engines whose events come 2.5 times slower than most are avoided and their items moved; daemons tell each other which engines they avoid, and one is avoided by all when two daemons of the own data centre, or of two others, do so.

--- a/blackboard/engines.go
+++ b/blackboard/engines.go
@@ -80,11 +80,8 @@
 	// Own is what the engine reported to this daemon, Peers what it reported to
 	// another one that told of it.
 	Own, Peers EngineReport
-	// Failures counts the failures since the last success.
-	Failures atomic.Int64
-	// AvoidUntil is the instant until which the engine is avoided after a
-	// failure.
-	AvoidUntil atomic.Int64
+	// Health is what the engine's answers showed.
+	Health EngineHealth
 	// NextCold is the instant at which this daemon may send the next request
 	// while the engine is cold.
 	NextCold atomic.Int64
@@ -112,34 +109,6 @@
 	return r.requests.Load()
 }
 
-// Times for which an engine is avoided after failures.
-const (
-	firstAvoid = 500 * time.Millisecond
-	maxAvoid   = 4 * time.Second
-)
-
-// Succeeded notes that the engine answered.
-func (l *EngineLoad) Succeeded() {
-	if l.Failures.Load() != 0 {
-		l.Failures.Store(0)
-		l.AvoidUntil.Store(0)
-	}
-}
-
-// Failed notes that the engine failed. It is avoided for a time that doubles
-// with each failure in a row.
-func (l *EngineLoad) Failed(now clock.Instant) {
-	n := l.Failures.Add(1)
-	avoid := maxAvoid
-	if n < 5 {
-		avoid = min(firstAvoid<<(n-1), maxAvoid)
-	}
-	l.AvoidUntil.Store(int64(now.Add(avoid)))
-}
-
-// Avoided tells whether the engine is avoided after a failure.
-func (l *EngineLoad) Avoided(now clock.Instant) bool { return int64(now) < l.AvoidUntil.Load() }
-
 // TakeCold takes the right to send one request to a cold engine. The daemon may
 // send one in each interval.
 func (l *EngineLoad) TakeCold(now clock.Instant, interval time.Duration) bool {
--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -138,6 +138,16 @@
 	return false
 }
 
+// DataCentreOf returns the data centre of the incarnation, or "".
+func (r *Roster) DataCentreOf(incarnation string) string {
+	for i := range r.Peers {
+		if r.Peers[i].Incarnation == incarnation {
+			return r.Peers[i].DataCentre
+		}
+	}
+	return ""
+}
+
 // Size returns the number of daemons, at least 1.
 func (r *Roster) Size() int { return max(len(r.Peers), 1) }
 
--- a/controller/jobs/place.go
+++ b/controller/jobs/place.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
 	"github.com/baobablanding/baobablanding/policy/due"
@@ -18,23 +19,30 @@
 		if now.Sub(c.trimmed[e.ID]) < trimPause {
 			continue
 		}
-		excess := placement.Excess(e, rand.Float64())
 		if !e.Usable() {
-			excess = 0 // a leaving engine finishes what it runs
+			continue // a leaving engine finishes what it runs
 		}
-		if excess == 0 {
-			continue
+		excess, why := placement.Excess(e, rand.Float64()), "gives way to online requests"
+		if e.Load.Health.Slow(now) {
+			excess, why = int(e.Load.Batch.Load()), "leaves a slow engine"
 		}
-		c.trimmed[e.ID] = now
-		for _, p := range c.latest(e.ID, excess) {
-			c.log.Info().Str("item", p.item().ID).Str("job", p.job.key.ID).Str("engine", e.ID).
-				Int("engine_busy", e.Busy()).Int64("event", p.last()).Msg("item gives way to online requests")
-			p.cut = true
-			p.cancel()
+		if excess > 0 {
+			c.trimmed[e.ID] = now
+			c.takeAway(e, excess, why)
 		}
 	}
 }
 
+// takeAway cuts items that run at the engine.
+func (c *Controller) takeAway(e *blackboard.Engine, n int, why string) {
+	for _, p := range c.latest(e.ID, n) {
+		c.log.Info().Str("item", p.item().ID).Str("job", p.job.key.ID).Str("engine", e.ID).Str("reason", why).
+			Int("engine_busy", e.Busy()).Dur("pace", e.Load.Health.Pace(clock.Now())).Int64("event", p.last()).Msg("item is moved")
+		p.cut = true
+		p.cancel()
+	}
+}
+
 // latest returns up to n items that run at the engine, in the reverse order
 // of their starts.
 func (c *Controller) latest(engine string, n int) []*progress {
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -89,12 +89,13 @@
 	case answer.Class != relay.Succeeded:
 		return broken, nil
 	}
-	return p.collect(answer, silence)
+	return p.collect(answer, engine, silence)
 }
 
 // collect appends the events of the answer to the item's output.
-func (p *progress) collect(answer *relay.Answer, silence *time.Timer) (ending, error) {
+func (p *progress) collect(answer *relay.Answer, engine *blackboard.Engine, silence *time.Timer) (ending, error) {
 	reader := relay.NewEventReader(answer.Body)
+	pace := relay.Pace{Health: &engine.Load.Health}
 	for {
 		events, err := reader.Next()
 		if err == io.EOF && len(reader.Rest()) == 0 {
@@ -107,6 +108,7 @@
 			return broken, err
 		}
 		silence.Reset(itemSilence)
+		pace.Note(len(events), clock.Now())
 		for _, e := range events {
 			p.add(e)
 		}
@@ -125,7 +127,7 @@
 	}
 	switch end {
 	case completed:
-		engine.Load.Succeeded()
+		engine.Load.Health.Succeeded()
 		c.runTime.Note(p.ran)
 		o.finished = append(o.finished, p.result(job.Completed))
 		return
@@ -143,7 +145,7 @@
 	case refused, broken:
 		p.refused[engine.ID] = clock.Now()
 		if !p.cut && err != nil {
-			engine.Load.Failed(clock.Now())
+			engine.Load.Health.Failed(clock.Now())
 		}
 	}
 	if !p.cut {
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -119,7 +119,7 @@
 
 // add changes the engines' loads by the difference between two reports of one
 // daemon, so that the newer one counts at once.
-func (c *Controller) add(before, now map[string][3]int64) {
+func (c *Controller) add(before, now map[string]peer.EngineCounts) {
 	engines := c.board.Engines.Value()
 	at := clock.Now()
 	for id, counts := range now {
@@ -174,6 +174,7 @@
 func (c *Controller) sum(roster *blackboard.Roster) {
 	now := clock.Now()
 	online, batch := make(map[string]int64), make(map[string]int64)
+	suspects := make(map[string][]string) // data centres of the daemons, by engine
 	waiting := 0
 	var read clock.Instant
 	c.mu.Lock()
@@ -189,11 +190,18 @@
 		for id, counts := range r.Engines {
 			online[id] += counts[0]
 			batch[id] += counts[1]
+			if counts[3] != 0 {
+				suspects[id] = append(suspects[id], roster.DataCentreOf(from))
+			}
 		}
 	}
 	for _, e := range c.board.Engines.Value().All {
 		e.Load.PeerOnline.Store(online[e.ID])
 		e.Load.PeerBatch.Store(batch[e.ID])
+		c.judge(e, placement.Verdict(roster.Self.DataCentre, suspects[e.ID]))
+	}
+	for _, e := range placement.Slow(c.board.Engines.Value().All, now) {
+		c.noteSlow(e, now)
 	}
 	for from := range c.admitted {
 		if !roster.Has(from) {
@@ -207,6 +215,21 @@
 	c.board.PeersRead.Store(int64(read))
 }
 
+// judge notes whether other daemons found the engine bad.
+func (c *Controller) judge(e *blackboard.Engine, bad bool) {
+	if e.Load.Health.PeersAvoid.Swap(bad) != bad {
+		c.log.Info().Str("engine", e.ID).Bool("avoided", bad).Msg("verdict of other daemons on an engine")
+	}
+}
+
+// noteSlow notes that the engine is much slower than others.
+func (c *Controller) noteSlow(e *blackboard.Engine, now clock.Instant) {
+	if !e.Load.Health.Slow(now) {
+		c.log.Warn().Str("engine", e.ID).Dur("pace", e.Load.Health.Pace(now)).Msg("engine is much slower than others")
+	}
+	e.Load.Health.FoundSlow(now)
+}
+
 // report returns what this daemon tells the others.
 func (c *Controller) report(roster *blackboard.Roster, sequence int64) peer.LoadReport {
 	now := clock.Now()
@@ -215,12 +238,15 @@
 		Sequence:   sequence,
 		Waiting:    c.board.Demand.Value().Waiting,
 		ReadingAge: now.Sub(c.board.Reading.Value().Sent).Milliseconds(),
-		Engines:    make(map[string][3]int64),
+		Engines:    make(map[string]peer.EngineCounts),
 		Admitted:   c.admissions(),
 	}
 	for _, e := range c.board.Engines.Value().All {
-		counts := [3]int64{e.Load.Online.Load(), e.Load.Batch.Load(), e.Load.Own.Requests(now)}
-		if counts != [3]int64{} {
+		counts := peer.EngineCounts{e.Load.Online.Load(), e.Load.Batch.Load(), e.Load.Own.Requests(now)}
+		if e.Load.Health.Suspect(now) {
+			counts[3] = 1
+		}
+		if counts != (peer.EngineCounts{}) {
 			r.Engines[e.ID] = counts
 		}
 	}
--- a/controller/loads/loads_test.go
+++ b/controller/loads/loads_test.go
@@ -23,18 +23,18 @@
 	return New(board, nil, logger), e
 }
 
-func loadReport(sequence int64, counts [3]int64) peer.LoadReport {
-	return peer.LoadReport{From: "other", Sequence: sequence, Engines: map[string][3]int64{"i-1": counts}}
+func loadReport(sequence int64, counts peer.EngineCounts) peer.LoadReport {
+	return peer.LoadReport{From: "other", Sequence: sequence, Engines: map[string]peer.EngineCounts{"i-1": counts}}
 }
 
 func TestReportsOfPeersCountOnceAndAtOnce(t *testing.T) {
 	c, e := newPair()
-	c.take(loadReport(1, [3]int64{3, 2, 0}))
+	c.take(loadReport(1, peer.EngineCounts{3, 2, 0}))
 	if e.Busy() != 5 {
 		t.Errorf("busy %d, want 5", e.Busy())
 	}
-	c.take(loadReport(3, [3]int64{1, 0, 0}))
-	c.take(loadReport(2, [3]int64{7, 7, 0})) // overtaken
+	c.take(loadReport(3, peer.EngineCounts{1, 0, 0}))
+	c.take(loadReport(2, peer.EngineCounts{7, 7, 0})) // overtaken
 	if e.Busy() != 1 {
 		t.Errorf("busy %d, want 1", e.Busy())
 	}
@@ -50,7 +50,7 @@
 
 func TestDaemonThatLeftDoesNotCount(t *testing.T) {
 	c, e := newPair()
-	c.take(loadReport(1, [3]int64{3, 2, 0}))
+	c.take(loadReport(1, peer.EngineCounts{3, 2, 0}))
 	roster := *c.board.Roster.Value()
 	roster.Peers = roster.Peers[:1]
 	c.sum(&roster)
@@ -64,7 +64,7 @@
 // alive by telling each other.
 func TestReportsOfEnginesDoNotCirculate(t *testing.T) {
 	c, e := newPair()
-	c.take(loadReport(1, [3]int64{0, 0, 8}))
+	c.take(loadReport(1, peer.EngineCounts{0, 0, 8}))
 	if e.Busy() != 8 {
 		t.Errorf("busy %d, want 8", e.Busy())
 	}
@@ -109,3 +109,31 @@
 		t.Errorf("a new count is told as %d", told)
 	}
 }
+
+func TestDaemonsAgreeOnABadEngine(t *testing.T) {
+	c, e := newPair()
+	roster := &blackboard.Roster{Known: true, Self: blackboard.Peer{Incarnation: "self", DataCentre: "dc"}}
+	for _, name := range []string{"self", "other", "third"} {
+		roster.Peers = append(roster.Peers, blackboard.Peer{Incarnation: name, DataCentre: "dc"})
+	}
+	suspicion := peer.EngineCounts{0, 0, 0, 1}
+	c.take(loadReport(1, suspicion))
+	c.sum(roster)
+	if e.Load.Health.Avoided(clock.Now()) {
+		t.Error("one daemon's bad path became everybody's verdict")
+	}
+	third := loadReport(1, suspicion)
+	third.From = "third"
+	c.take(third)
+	c.sum(roster)
+	if !e.Load.Health.Avoided(clock.Now()) {
+		t.Error("an engine that two daemons avoid is not avoided")
+	}
+	if told := c.report(roster, 1); len(told.Engines) != 0 {
+		t.Errorf("daemon passes on a verdict as its own: %v", told.Engines)
+	}
+	e.Load.Health.Failed(clock.Now())
+	if told := c.report(roster, 2); told.Engines["i-1"] != suspicion {
+		t.Errorf("daemon does not tell what it saw: %v", told.Engines)
+	}
+}
--- a/entrytest/online_test.go
+++ b/entrytest/online_test.go
@@ -295,3 +295,20 @@
 	}
 	d.stopped = true
 }
+
+// TestEngineThatFailsIsAvoided checks that failed answers, which must be passed on,
+// count against their engine.
+func TestEngineThatFailsIsAvoided(t *testing.T) {
+	f := newFleet(t)
+	bad := f.startEngine("i-1", func(_ *engine, w http.ResponseWriter, _ *http.Request, _ int) {
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	good := f.startEngine("i-2", stream)
+	d := f.start("entry-1")
+	for range 40 {
+		d.send(t.Context(), t, request{path: "/once/a", key: key})
+	}
+	if n := bad.count(); n > 3 || good.count() < 30 {
+		t.Errorf("an engine that fails every request got %d of 40, the other one %d", n, good.count())
+	}
+}
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -8,6 +8,11 @@
 // methodLoads is the notification that carries a LoadReport in a datagram.
 const methodLoads = "loads"
 
+// EngineCounts holds the online requests and the batch items that the daemon has at
+// an engine, the requests that the engine reported to it a moment ago, and 1 if the
+// daemon avoids the engine for what it saw itself.
+type EngineCounts [4]int64
+
 // LoadReport tells how many requests an entry daemon has at each engine.
 type LoadReport struct {
 	// From is the daemon's incarnation.
@@ -19,10 +24,8 @@
 	// ReadingAge is how long ago, in ms, the daemon asked for its last reading of
 	// the configuration.
 	ReadingAge int64 `json:"reading_age_ms"`
-	// Engines holds, for each engine that has any, the online requests and the
-	// batch items of the daemon, and the requests that the engine reported to it a
-	// moment ago.
-	Engines map[string][3]int64 `json:"engines"`
+	// Engines holds what there is to tell of engines, by id.
+	Engines map[string]EngineCounts `json:"engines"`
 	// Admitted holds, for each workspace in which it changed lately, the number
 	// of requests that the daemon admitted since it started.
 	Admitted map[string]int64 `json:"admitted,omitempty"`
--- a/peer/loadreport_test.go
+++ b/peer/loadreport_test.go
@@ -10,7 +10,7 @@
 func TestLoadReportIsANotification(t *testing.T) {
 	want := LoadReport{
 		From: "vm/1", Sequence: 7, Waiting: 2, ReadingAge: 40,
-		Engines: map[string][3]int64{"i-1": {1, 2, 3}}, Admitted: map[string]int64{"w": 5},
+		Engines: map[string]EngineCounts{"i-1": {1, 2, 3, 1}}, Admitted: map[string]int64{"w": 5},
 	}
 	data, err := EncodeLoadReport(want)
 	if err != nil {
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -16,7 +16,7 @@
 	var best *blackboard.Engine
 	bestFree := 0.0
 	for _, e := range engines {
-		if !e.Usable() || e.MissingSince != 0 || e.Load.Avoided(q.Now) || q.Tried != nil && q.Tried(e) {
+		if !e.Usable() || e.MissingSince != 0 || e.Load.Health.Avoided(q.Now) || q.Tried != nil && q.Tried(e) {
 			continue
 		}
 		spare := e.Slots - e.Busy()
--- /dev/null
+++ b/policy/placement/pace_test.go
@@ -0,0 +1,46 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
+)
+
+func TestSlowEnginesAreThoseSlowerThanMost(t *testing.T) {
+	now := clock.Now()
+	paced := func(paces ...time.Duration) []*blackboard.Engine {
+		var engines []*blackboard.Engine
+		for i, pace := range paces {
+			e := newEngine(fmt.Sprint(i), 1, 0)
+			e.Load.Health.NotePace(pace*time.Millisecond, now)
+			engines = append(engines, e)
+		}
+		return engines
+	}
+	if slow := Slow(paced(40, 52, 40, 52, 240), now); len(slow) != 1 || slow[0].ID != "4" {
+		t.Errorf("slow engines: %v", slow)
+	}
+	if slow := Slow(paced(240, 250, 230, 260), now); len(slow) != 0 {
+		t.Errorf("a slow daemon finds %d engines slow", len(slow))
+	}
+	if slow := Slow(paced(40, 40, 400), now); len(slow) != 0 {
+		t.Errorf("%d of three engines are found slow", len(slow))
+	}
+}
+
+func TestVerdictNeedsDaemonsThatAgree(t *testing.T) {
+	for _, c := range []struct {
+		suspects []string
+		want     bool
+	}{
+		{nil, false}, {[]string{"a"}, false}, {[]string{"a", "a"}, true},
+		{[]string{"b", "b", "b"}, false}, {[]string{"b", "c"}, true}, {[]string{"a", "b"}, false},
+	} {
+		if got := Verdict("a", c.suspects); got != c.want {
+			t.Errorf("suspected in %v: %v", c.suspects, got)
+		}
+	}
+}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -51,7 +51,7 @@
 func Choose(engines []*blackboard.Engine, q *Query) *blackboard.Engine {
 	others := len(engines) - len(q.Homes)
 	if others > sampled {
-		if e := choose(engines, q, float64(sampled)/float64(others)); e != nil && !e.Load.Avoided(q.Now) {
+		if e := choose(engines, q, float64(sampled)/float64(others)); e != nil && !e.Load.Health.Avoided(q.Now) {
 			return e
 		}
 	}
@@ -95,7 +95,7 @@
 	if e.MissingSince != 0 {
 		cost += avoidedCost / 2
 	}
-	if e.Load.Avoided(q.Now) {
+	if e.Load.Health.Avoided(q.Now) {
 		cost += avoidedCost
 	}
 	return cost + q.Random()/(4*float64(e.Slots))
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -51,7 +51,7 @@
 
 func TestFailedEngineIsTheLastResort(t *testing.T) {
 	failed, busy := newEngine("a", 0, 0), newEngine("b", 8, 0)
-	failed.Load.Failed(clock.Now())
+	failed.Load.Health.Failed(clock.Now())
 	if got := Choose([]*blackboard.Engine{failed, busy}, query()); got != busy {
 		t.Error("an engine that just failed was preferred")
 	}
--- a/relay/pass.go
+++ b/relay/pass.go
@@ -4,15 +4,17 @@
 	"io"
 	"time"
 
+	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/result"
 )
 
 // pass hands the answer to the sink.
-func (r *run) pass(answer *Answer, watch *time.Timer) error {
+func (r *run) pass(answer *Answer, engine *blackboard.Engine, watch *time.Timer) error {
 	if answer.Events && answer.Class == Succeeded {
-		return r.passEvents(answer, watch)
+		return r.passEvents(answer, engine, watch)
 	}
+	watch.Stop()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes))
 	if err != nil {
 		return result.New(result.AnswerIncomplete, result.MayHaveRun)
@@ -47,8 +49,9 @@
 
 // passEvents passes whole events on as they arrive. Events that the caller has
 // already are left out.
-func (r *run) passEvents(answer *Answer, watch *time.Timer) error {
+func (r *run) passEvents(answer *Answer, engine *blackboard.Engine, watch *time.Timer) error {
 	reader := NewEventReader(answer.Body)
+	pace := Pace{Health: &engine.Load.Health}
 	for {
 		events, err := reader.Next()
 		if err == io.EOF {
@@ -64,6 +67,7 @@
 			return err
 		}
 		watch.Reset(eventSilence)
+		pace.Note(len(events), clock.Now())
 		if err := r.passNew(events); err != nil {
 			return err
 		}
--- a/relay/server.go
+++ b/relay/server.go
@@ -23,9 +23,10 @@
 	maxRefusals = 6
 	// busyRetry is when a caller should come back after all engines were full.
 	busyRetry = 350 * time.Millisecond
-	// firstEventSilence and eventSilence are how long a stream that can go on
-	// elsewhere may be silent before it is taken away from its engine.
-	firstEventSilence = 1200 * time.Millisecond
+	// firstEventSilence and eventSilence are how long a stream may be silent before
+	// its engine counts as failing and the stream, if it can go on elsewhere, is
+	// taken away from it.
+	firstEventSilence = 900 * time.Millisecond
 	eventSilence      = 600 * time.Millisecond
 	// maxBufferedBytes bounds an answer that is no stream.
 	maxBufferedBytes = 16 << 20
@@ -194,7 +195,7 @@
 	defer load.Online.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := r.watch(cancel)
+	watch := r.watch(engine, cancel)
 	defer watch.Stop()
 	answer, err := r.server.engines.Call(ctx, r.call(engine))
 	if err != nil {
@@ -206,15 +207,21 @@
 	}
 	r.runs++
 	answer.note(engine)
-	if (answer.Class == Failed || answer.Class == Unavailable) && r.mayRetryAnswer() {
-		r.decision(engine, "retry").Int("status", answer.Status).Msg("engine failed")
+	failed := answer.Class == Failed || answer.Class == Unavailable
+	if failed {
+		load.Health.Failed(clock.Now())
+		r.decision(engine, "failed").Int("status", answer.Status).Bool("retry", r.mayRetryAnswer()).Msg("engine failed")
+	}
+	if failed && r.mayRetryAnswer() {
 		return result.New(result.UpstreamFailed, result.Answered)
 	}
-	if err := r.pass(answer, watch); err != nil {
+	if err := r.pass(answer, engine, watch); err != nil {
 		r.broken(ctx, engine, err)
 		return err
 	}
-	load.Succeeded()
+	if !failed {
+		load.Health.Succeeded()
+	}
 	return nil
 }
 
@@ -224,14 +231,17 @@
 	return r.Route.MayRepeat() && r.runs < r.Route.Attempts
 }
 
-// watch ends the attempt when its engine is silent and another one can go on.
-func (r *run) watch(cancel context.CancelFunc) *time.Timer {
-	if !r.Route.Resumable || r.runs+1 >= r.Route.Attempts {
-		timer := time.AfterFunc(time.Hour, func() {})
-		timer.Stop()
-		return timer
-	}
-	return time.AfterFunc(firstEventSilence, cancel)
+// watch notes that the engine failed when it is silent, and ends the attempt if
+// another one can go on.
+func (r *run) watch(engine *blackboard.Engine, cancel context.CancelFunc) *time.Timer {
+	goOn := r.Route.Resumable && r.runs+1 < r.Route.Attempts
+	return time.AfterFunc(firstEventSilence, func() {
+		engine.Load.Health.Failed(clock.Now())
+		r.decision(engine, "silent").Bool("goes_on_elsewhere", goOn).Msg("engine is silent")
+		if goOn {
+			cancel()
+		}
+	})
 }
 
 func (r *run) call(engine *blackboard.Engine) *Call {
@@ -263,13 +273,13 @@
 	if ctx.Err() != nil && r.deadline != 0 && clock.Now() >= r.deadline {
 		return
 	}
-	engine.Load.Failed(clock.Now())
+	engine.Load.Health.Failed(clock.Now())
 	r.decision(engine, "failed").Err(err).Msg("attempt failed")
 }
 
 func (r *run) refused(engine *blackboard.Engine, answer *Answer) error {
 	if answer.Misdirected {
-		engine.Load.Failed(clock.Now())
+		engine.Load.Health.Failed(clock.Now())
 	}
 	r.decision(engine, "refused").Int("status", answer.Status).Msg("engine did not run the request")
 	return result.New(result.UpstreamOverloaded, result.NotRun).After(busyRetry)
