--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -54,6 +54,59 @@
 	}
 }
 
+// TestFollowerGoesOnAfterRefusedCalls lets the store refuse every other call while
+// the table changes: the follower must not begin again each time, and must show the
+// table as it is at the end.
+func TestFollowerGoesOnAfterRefusedCalls(t *testing.T) {
+	p, err := standin.StartPlatform("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	parts := []string{"a", "b", "c", "d", "e", "f"}
+	for _, part := range parts {
+		p.PutRow("t", part, part, []byte("old"))
+	}
+	s := &refusingStore{Store: platform.NewStore(p.URL()[len("http://"):])}
+	f := store.NewFollower(s, "t")
+	var batch store.Batch
+	tries := 0
+	for err = errors.New("not read"); err != nil && tries < 3*len(parts); tries++ {
+		if tries == len(parts) {
+			p.PutRow("t", "a", "a", []byte("new"))
+			p.RemoveRow("t", "b", "b")
+			p.PutRow("t", "g", "g", []byte("new"))
+		}
+		batch, err = f.Next(t.Context())
+	}
+	if err != nil {
+		t.Fatalf("the table was not read in %d calls of which every other one was refused: %v", tries, err)
+	}
+	seen := make(map[string]string)
+	for _, row := range batch.Rows {
+		seen[row.Name] = string(row.Value)
+		if row.Deleted {
+			delete(seen, row.Name)
+		}
+	}
+	if len(seen) != 6 || seen["a"] != "new" || seen["g"] != "new" || seen["c"] != "old" {
+		t.Errorf("after %d tries: %v", tries, seen)
+	}
+}
+
+// refusingStore refuses every other reading.
+type refusingStore struct {
+	store.Store
+	calls int
+}
+
+func (s *refusingStore) Get(ctx context.Context, r store.Range) (store.Reading, error) {
+	if s.calls++; s.calls%2 == 0 {
+		return store.Reading{}, store.ErrNotDone
+	}
+	return s.Store.Get(ctx, r)
+}
+
 func TestErrorsTellWhetherACallWasDone(t *testing.T) {
 	p, err := standin.StartPlatform("127.0.0.1:0")
 	if err != nil {
