--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -127,6 +127,7 @@
 		return fmt.Errorf("listen for load reports: %w", err)
 	}
 	reg := newRegistry()
+	registerBoard(reg, e.board)
 	e.roster = roster.New(e.board, rows, self, e.log)
 	e.jobs = jobs.New(e.board, rows, engines, self, e.log)
 	dir := directory.New(e.board, rows, platform.Decoder{}, e.log)
--- a/entrytest/explain_test.go
+++ b/entrytest/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -74,3 +75,26 @@
 		"item is given up", "failed=3", "reason=every attempt failed")
 	inOrder(t, story(t, logs, refused), "store is lost", "request was not served", "reading_age=", "result=config_stale")
 }
+
+func TestMetricsTellWhatADaemonBelieves(t *testing.T) {
+	f := newFleet(t)
+	f.startEngine("i-1", stream)
+	d := f.start("entry-1")
+	resp, err := http.Get("http://" + d.settings.Metrics + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{
+		"baobab_entry_reading_age_seconds 0.", "baobab_entry_daemons_heard 1", "baobab_entry_engines 1",
+		"baobab_entry_engines_avoided 0", "baobab_entry_items_waiting 0", "baobab_entry_config_version 4",
+	} {
+		if !strings.Contains(string(body), line) {
+			t.Errorf("no line %q", line)
+		}
+	}
+}
