--- a/controller/jobs/place.go
+++ b/controller/jobs/place.go
@@ -94,12 +94,14 @@
 // the store may miss what others were told. While the store is away for all, nobody
 // can be told anything, and items use the engines that online requests leave.
 func (c *Controller) mayStart() bool {
-	recent := c.board.Reading.Value().Within(startValidity, clock.Now())
-	outage := !recent && c.board.HeardPart() >= heardForAll && !c.board.PeersReadWithin(startValidity)
+	reading := c.board.Reading.Value()
+	recent := reading.Within(startValidity, clock.Now())
+	began := reading.Sent != 0 && c.board.Roster.Value().Known
+	outage := began && !recent && c.board.HeardPart() >= heardForAll && !c.board.PeersReadWithin(startValidity)
 	if outage != c.outage {
 		c.outage = outage
 		c.log.Info().Bool("away", outage).Float64("heard_part", c.board.HeardPart()).
-			Dur("reading_age", clock.Since(c.board.Reading.Value().Sent)).Msg("items run without the store")
+			Dur("reading_age", clock.Since(reading.Sent)).Msg("items run without the store")
 	}
 	return recent || outage
 }
--- a/controller/jobs/start_test.go
+++ b/controller/jobs/start_test.go
@@ -26,6 +26,7 @@
 		{"a peer reaches it", late, 0, 5, false},
 		{"few peers are heard", late, late, 3, false},
 		{"one peer is not heard", late, late, 4, true},
+		{"nothing was read yet", late, late, 5, false},
 	} {
 		board := blackboard.NewEntry()
 		board.Roster.Publish(&blackboard.Roster{Peers: make([]blackboard.Peer, 5), Known: true})
@@ -33,6 +34,9 @@
 		board.Reading.Publish(blackboard.Reading{Sent: now.Add(-c.own)})
 		board.PeersRead.Store(int64(now.Add(-c.peers)))
 		board.Heard.Store(c.heard)
+		if c.name == "nothing was read yet" {
+			board.Reading.Publish(blackboard.Reading{})
+		}
 		jobs := New(board, nil, nil, blackboard.Peer{}, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 		if got := jobs.mayStart(); got != c.want {
 			t.Errorf("%s: may start %v", c.name, got)
