Refuse calls about jobs at once while the store is lost

A daemon whose last reading is older than 1 s while another one's is not, or older than 1.8 s, refuses such calls at once and sends their callers elsewhere. Test: a silent store (failed before: 503 after 1.5 s).

--- a/entrytest/jobs_test.go
+++ b/entrytest/jobs_test.go
@@ -261,3 +261,27 @@
 		return false
 	})
 }
+
+func TestLostStoreIsToldAtOnce(t *testing.T) {
+	f := newFleet(t)
+	f.startEngine("i-1", stream)
+	d := f.start("entry-1")
+	if status := d.submit(t, "j", 1, 10); status != http.StatusAccepted {
+		t.Fatalf("status %d", status)
+	}
+	f.store.Set(standin.Faults{Delay: time.Minute}) // silent
+	time.Sleep(2500 * time.Millisecond)
+	for _, call := range []struct {
+		name string
+		send func() int
+	}{
+		{"submission", func() int { return d.submit(t, "k", 1, 10) }},
+		{"reading", func() int { _, status := d.read(t, "j", 0); return status }},
+	} {
+		begin := time.Now()
+		status := call.send()
+		if took := time.Since(begin); status != http.StatusServiceUnavailable || took > 200*time.Millisecond {
+			t.Errorf("%s: status %d after %v", call.name, status, took)
+		}
+	}
+}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -78,10 +78,10 @@
 	return cat, nil
 }
 
-// elsewhere returns the refusal of a daemon that may not use its configuration.
+// elsewhere returns the refusal of a daemon that has lost the store.
 func (s *Server) elsewhere(code result.Code) error {
 	wait := staleRetry
-	if s.board.PeersReadWithin(s.validity) {
+	if s.board.PeersReadWithin(cutOffAge) {
 		wait = elsewhereRetry
 	}
 	return result.New(code, result.NotRun).After(wait).AskElsewhere()
--- a/relay/jobs.go
+++ b/relay/jobs.go
@@ -16,6 +16,11 @@
 	// headsValidity is how old a reading of the jobs' heads may be to answer a
 	// caller without asking the store.
 	headsValidity = 850 * time.Millisecond
+	// cutOffAge is how old the last reading of the store may be when another daemon
+	// has a younger one: then only this daemon has lost the store.
+	cutOffAge = time.Second
+	// lostAge is how old it may be otherwise.
+	lostAge = 1800 * time.Millisecond
 	// maxSubmitTime bounds the acceptance of a job.
 	maxSubmitTime = 2500 * time.Millisecond
 )
@@ -32,6 +37,16 @@
 	return &Jobs{Server: server, ledger: ledger, self: self}
 }
 
+// reachable refuses calls about jobs at once while the store is lost: a call of a
+// silent store would take longer than a caller needs to ask another daemon.
+func (j *Jobs) reachable() error {
+	age := clock.Since(j.board.Reading.Value().Sent)
+	if age > cutOffAge && j.board.PeersReadWithin(cutOffAge) || age > lostAge {
+		return j.elsewhere(result.StoreUnavailable)
+	}
+	return nil
+}
+
 // Submit accepts a job with the id on an admitted route.
 func (j *Jobs) Submit(ctx context.Context, a *Admission, id string, items []job.Item) error {
 	switch {
@@ -42,6 +57,9 @@
 	case j.board.Phase.Value() == blackboard.Draining:
 		return result.New(result.Draining, result.NotRun).After(busyRetry)
 	}
+	if err := j.reachable(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxSubmitTime)
 	defer cancel()
 	s := &job.Submission{
@@ -66,6 +84,9 @@
 func (j *Jobs) Read(ctx context.Context, key job.Key, after int, wait time.Duration) (job.Page, error) {
 	until := clock.Now().Add(wait)
 	for {
+		if err := j.reachable(); err != nil {
+			return job.Page{}, err
+		}
 		snap := j.board.Jobs.Load()
 		head, err := j.head(ctx, snap.Value, key)
 		if err != nil {
@@ -123,6 +144,9 @@
 
 // Body returns the body of an item of the job.
 func (j *Jobs) Body(ctx context.Context, key job.Key, item string) ([]byte, error) {
+	if err := j.reachable(); err != nil {
+		return nil, err
+	}
 	head, err := j.head(ctx, j.board.Jobs.Value(), key)
 	if err != nil {
 		return nil, storeError(err)
@@ -141,6 +165,9 @@
 
 // End ends the job.
 func (j *Jobs) End(ctx context.Context, key job.Key) error {
+	if err := j.reachable(); err != nil {
+		return err
+	}
 	err := j.ledger.End(ctx, key)
 	j.log.Info().Str("job", key.ID).Err(err).Msg("caller ends a batch job")
 	return storeError(err)
