--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -169,67 +169,6 @@
 	}
 }
 
-// sum adds up the reports of the daemons that run, which drops those of daemons
-// that do not.
-func (c *Controller) sum(roster *blackboard.Roster) {
-	now := clock.Now()
-	online, batch := make(map[string]int64), make(map[string]int64)
-	suspects := make(map[string][]string) // data centres of the daemons, by engine
-	waiting := 0
-	var read clock.Instant
-	c.mu.Lock()
-	for from, r := range c.reports {
-		if now.Sub(r.at) > maxAge || !roster.Has(from) {
-			delete(c.reports, from)
-			continue
-		}
-		if r.Waiting > 0 {
-			waiting++
-		}
-		read = max(read, r.read())
-		for id, counts := range r.Engines {
-			online[id] += counts[0]
-			batch[id] += counts[1]
-			if counts[3] != 0 {
-				suspects[id] = append(suspects[id], roster.DataCentreOf(from))
-			}
-		}
-	}
-	for _, e := range c.board.Engines.Value().All {
-		e.Load.PeerOnline.Store(online[e.ID])
-		e.Load.PeerBatch.Store(batch[e.ID])
-		c.judge(e, placement.Verdict(roster.Self.DataCentre, suspects[e.ID]))
-	}
-	for _, e := range placement.Slow(c.board.Engines.Value().All, now) {
-		c.noteSlow(e, now)
-	}
-	for from := range c.admitted {
-		if !roster.Has(from) {
-			delete(c.admitted, from)
-		}
-	}
-	heard := len(c.reports)
-	c.mu.Unlock()
-	c.board.Rivals.Store(int64(waiting))
-	c.board.Heard.Store(int64(heard) + 1)
-	c.board.PeersRead.Store(int64(read))
-}
-
-// judge notes whether other daemons found the engine bad.
-func (c *Controller) judge(e *blackboard.Engine, bad bool) {
-	if e.Load.Health.PeersAvoid.Swap(bad) != bad {
-		c.log.Info().Str("engine", e.ID).Bool("avoided", bad).Msg("verdict of other daemons on an engine")
-	}
-}
-
-// noteSlow notes that the engine is much slower than others.
-func (c *Controller) noteSlow(e *blackboard.Engine, now clock.Instant) {
-	if !e.Load.Health.Slow(now) {
-		c.log.Warn().Str("engine", e.ID).Dur("pace", e.Load.Health.Pace(now)).Msg("engine is much slower than others")
-	}
-	e.Load.Health.FoundSlow(now)
-}
-
 // report returns what this daemon tells the others.
 func (c *Controller) report(roster *blackboard.Roster, sequence int64) peer.LoadReport {
 	now := clock.Now()
--- a/controller/rates/account.go
+++ b/controller/rates/account.go
@@ -130,7 +130,7 @@
 	if a.lost != 0 {
 		return 0
 	}
-	return patience
+	return callPatience
 }
 
 // giveCredit publishes tokens that were not taken from the bucket, as many as the
@@ -142,15 +142,17 @@
 		return
 	}
 	unused := a.share.Grant.Value().Close()
-	a.debt -= min(unused, a.debt)
+	paid := min(unused, a.debt)
+	a.debt -= paid
 	estimate := a.estimate(a.share.Estimate.Value(), a.share, limit)
-	tokens := estimate.Part(a.board.Roster.Value().Size())
+	credit := estimate.Part(a.board.Roster.Value().Size())
+	tokens := credit + unused - paid
 	if tokens == 0 {
 		wait := max(estimate.Wait(limit), minWait)
 		a.share.Grant.Publish(blackboard.NewGrant(0, 0, now.Add(wait)))
 		return
 	}
-	a.debt = min(a.debt+tokens, a.debtLimit(limit))
+	a.debt = min(a.debt+credit, a.debtLimit(limit))
 	a.share.Grant.Publish(blackboard.NewGrant(tokens, now.Add(creditTime), 0))
 }
 
--- a/controller/rates/rates.go
+++ b/controller/rates/rates.go
@@ -22,9 +22,9 @@
 const bucketRow = "bucket"
 
 const (
-	// patience is how long a call of the store may take before requests get
+	// callPatience is how long a call of the store may take before requests get
 	// tokens on credit.
-	patience = 60 * time.Millisecond
+	callPatience = 60 * time.Millisecond
 	// creditTime is the time for which tokens are given on credit at once.
 	creditTime = 150 * time.Millisecond
 	// retryTime is the time between two calls of a store that fails.
