Only streams count as silent

A call that is no stream may take longer than 0.9 s at a sound engine; its silence is no evidence. The timer's line no longer reads fields that the request's goroutine writes.

--- a/relay/server.go
+++ b/relay/server.go
@@ -231,13 +231,20 @@
 	return r.Route.MayRepeat() && r.runs < r.Route.Attempts
 }
 
-// watch notes that the engine failed when it is silent, and ends the attempt if
-// another one can go on.
+// watch notes that the engine of a stream failed when it is silent, and ends the
+// attempt if another one can go on. Other answers may take any time.
 func (r *run) watch(engine *blackboard.Engine, cancel context.CancelFunc) *time.Timer {
+	if r.Route.Kind != catalog.Streaming {
+		timer := time.AfterFunc(time.Hour, func() {})
+		timer.Stop()
+		return timer
+	}
 	goOn := r.Route.Resumable && r.runs+1 < r.Route.Attempts
+	id, logger := r.ID, r.server.log // the rest of the run belongs to its goroutine
 	return time.AfterFunc(firstEventSilence, func() {
 		engine.Load.Health.Failed(clock.Now())
-		r.decision(engine, "silent").Bool("goes_on_elsewhere", goOn).Msg("engine is silent")
+		logger.Warn().Str("request", id).Str("engine", engine.ID).Int("engine_busy", engine.Busy()).
+			Bool("goes_on_elsewhere", goOn).Msg("engine is silent")
 		if goOn {
 			cancel()
 		}
