Let several daemons of a test share a store without a race

The store for tests wrote its loss at each transaction, also when there was none (go test -race, TestDaemonsTogetherStayAtTheRate).

--- a/store/storetest/storetest.go
+++ b/store/storetest/storetest.go
@@ -53,7 +53,7 @@
 		hook()
 	}
 	loss := s.Lose
-	if loss != Never {
+	if loss != Never && loss != None {
 		s.Lose = None
 	}
 	switch loss {
