Keep the rate when the store comes back to a fleet that is asked for too much

When the store is back after an outage its bucket is full, and so are the daemons' estimates: 35 daemons gave credit by the estimate while their first calls of the store conflicted, beside what the store gave, and learned the store's full bucket as an estimate again.

--- a/controller/loads/admitted.go
+++ b/controller/loads/admitted.go
@@ -4,7 +4,7 @@
 
 // repeats is in how many reports a count is told after it changed, since
 // datagrams may be lost.
-const repeats = 2 * remoteRound
+const repeats = 3
 
 // told is what was told last about the admissions of one workspace.
 type told struct {
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -24,9 +24,6 @@
 	// intervalPerDaemon keeps the reports that a daemon sends and receives a
 	// second constant in a large fleet.
 	intervalPerDaemon = 2 * time.Millisecond
-	// remoteRound is how many reports are sent in the daemon's data centre for each
-	// that is sent to others: engines of other data centres get fewer requests.
-	remoteRound = 2
 	// maxAge is how long a report counts.
 	maxAge = 1200 * time.Millisecond
 	// maxDatagram is the size of the receive buffer.
@@ -200,10 +197,7 @@
 		return
 	}
 	for i := range roster.Peers {
-		p := &roster.Peers[i]
-		if p.DataCentre == roster.Self.DataCentre || sequence%remoteRound == 0 {
-			c.sendTo(p, roster, data)
-		}
+		c.sendTo(&roster.Peers[i], roster, data)
 	}
 }
 
--- a/controller/rates/account.go
+++ b/controller/rates/account.go
@@ -26,6 +26,7 @@
 	asked     int64
 	averaged  clock.Instant
 	perSecond float64       // requests that asked
+	learned   bool          // the estimate began with what the bucket held
 	lost      clock.Instant // when the last call failed, or 0 while the store answers
 }
 
@@ -74,7 +75,7 @@
 	if !ok || !a.share.Grant.Value().Low(clock.Now()) {
 		return
 	}
-	if a.lost != 0 && clock.Since(a.lost) < retryTime {
+	if a.lost != 0 && clock.Since(a.lost) < retryTime && !a.returned() {
 		a.giveCredit(limit)
 		return
 	}
@@ -97,7 +98,7 @@
 // mayAdvance tells whether the shared bucket surely holds enough for a few requests
 // before the store is asked.
 func (a *account) mayAdvance(limit bucket.Limit) bool {
-	return a.debt < maxDebt && a.board.HeardPart() >= fullyHeard &&
+	return limit.Rate <= maxAdvanceRate && a.debt < maxDebt && a.board.HeardPart() >= fullyHeard &&
 		a.estimate(a.share.Estimate.Value(), a.share, limit).Rich(limit)
 }
 
@@ -127,10 +128,20 @@
 // patience returns how long requests wait for a call of the store before they get
 // tokens on credit.
 func (a *account) patience() time.Duration {
-	if a.lost != 0 {
+	switch {
+	case a.lost == 0:
+		return callPatience
+	case a.returned():
+		return returnPatience
+	default:
 		return 0
 	}
-	return callPatience
+}
+
+// returned tells whether others read the store again, though the last call of this
+// account failed.
+func (a *account) returned() bool {
+	return a.board.Reading.Value().Within(returnedAge, clock.Now())
 }
 
 // giveCredit publishes tokens that were not taken from the bucket, as many as the
@@ -174,9 +185,7 @@
 		a.lost = 0
 		a.log.Info().Str("workspace", a.workspace).Int("debt", a.debt).Msg("shared rate is reached again")
 	}
-	a.share.Estimate.Update(func(old bucket.Estimate) bucket.Estimate {
-		return a.estimate(old, a.share, limit).AtLeast(a.state.Tokens)
-	})
+	a.learn(limit)
 	paid := min(o.taken, a.debt)
 	a.debt -= paid
 	tokens := o.taken - paid + a.share.Grant.Value().Close()
@@ -187,6 +196,18 @@
 	a.share.Grant.Publish(blackboard.NewGrant(tokens, now.Add(bucket.Validity(limit)), 0))
 }
 
+// learn takes in what the shared bucket holds, once: a daemon that has just started
+// has seen no admissions. Later the bucket does not show what was given on credit.
+func (a *account) learn(limit bucket.Limit) {
+	if a.learned {
+		return
+	}
+	a.learned = true
+	a.share.Estimate.Update(func(old bucket.Estimate) bucket.Estimate {
+		return a.estimate(old, a.share, limit).AtLeast(a.state.Tokens)
+	})
+}
+
 // fail gives tokens on credit after a call that failed.
 func (a *account) fail(err error) {
 	if errors.Is(err, context.Canceled) {
--- a/controller/rates/rates.go
+++ b/controller/rates/rates.go
@@ -32,6 +32,16 @@
 	// maxDebt is how many tokens a daemon gives before it asks the store for them,
 	// while much is left.
 	maxDebt = 3
+	// maxAdvanceRate is the rate, in requests a second, up to which it does so:
+	// callers of a higher one may send more within the time of a load report than the
+	// limit leaves room for.
+	maxAdvanceRate = 20
+	// returnPatience is the same as callPatience after an outage, when all daemons
+	// ask at once and the bucket in the store is full beside their estimates.
+	returnPatience = 100 * time.Millisecond
+	// returnedAge is how old the last reading of the configuration is at most when
+	// the store counts as reached again.
+	returnedAge = time.Second
 	// fullyHeard is the part of the daemons that must be heard for that.
 	fullyHeard = 0.9
 	// estimateInterval is the time between two updates of the estimates.
--- a/entrytest/soak_callers_test.go
+++ b/entrytest/soak_callers_test.go
@@ -29,6 +29,7 @@
 	sent     time.Time
 	accepted bool // one submission was answered 202
 	refused  bool // every submission was answered "not run"
+	endAsked bool // it may have taken effect without an answer
 	ended    time.Time
 	results  []string // by position: id, state and output
 }
@@ -162,6 +163,7 @@
 }
 
 func (c *callers) endJob(j *soakJob, random *rand.Rand) {
+	j.endAsked = true
 	d := c.s.daemons[random.IntN(len(c.s.daemons))]
 	if got := c.jobCall(d, request{method: http.MethodDelete, path: "/v1/lots/" + j.id}); got.status == http.StatusOK {
 		j.ended = time.Now()
--- a/policy/bucket/bucket.go
+++ b/policy/bucket/bucket.go
@@ -52,13 +52,14 @@
 	return time.Duration((1 - s.Tokens) / l.Rate * float64(time.Second))
 }
 
-// Bounds of how long tokens may be used after they were taken.
+// Bounds of how long tokens may be used after they were taken. All daemons together
+// hold no more than came in during that time, and may use it beside a whole burst.
 const (
-	minValidity = 1200 * time.Millisecond
+	minValidity = 300 * time.Millisecond
 	maxValidity = 4 * time.Second
-	// heldTokens is how many tokens may be used later than the bucket gave them,
-	// over all daemons; the limit of a workspace leaves that room.
-	heldTokens = 20
+	// heldTokens is how many tokens beyond those of minValidity may be used later
+	// than the bucket gave them; the limit of a workspace leaves that room.
+	heldTokens = 16
 )
 
 // Validity returns how long tokens may be used: longer for a low rate, so that
@@ -67,7 +68,7 @@
 	if l.Rate <= 0 {
 		return minValidity
 	}
-	return min(max(time.Duration(heldTokens/l.Rate*float64(time.Second)), minValidity), maxValidity)
+	return min(minValidity+time.Duration(heldTokens/l.Rate*float64(time.Second)), maxValidity)
 }
 
 // maxPart is the time whose tokens one daemon may hold at most.
--- a/policy/bucket/bucket_test.go
+++ b/policy/bucket/bucket_test.go
@@ -1,6 +1,7 @@
 package bucket
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -77,3 +78,17 @@
 		}
 	}
 }
+
+// TestHeldTokensFitIntoTheLimit checks that what daemons hold, and what they admit
+// before the store is asked, is within the room that a limit leaves in a window of
+// 5 s: a tenth and 20 requests.
+func TestHeldTokensFitIntoTheLimit(t *testing.T) {
+	for rate := 1.0; rate <= 500; rate++ {
+		limit := Limit{Rate: rate, Burst: rate}
+		held := math.Min(Validity(limit).Seconds(), 5) * rate
+		early := (1 - richPart) * limit.Burst
+		if room := 0.1*(5*rate+limit.Burst) + 20; held+early > room {
+			t.Fatalf("rate %v: %v tokens held and %v admitted early, room for %v", rate, held, early, room)
+		}
+	}
+}
