--- a/controller/rates/rates.go
+++ b/controller/rates/rates.go
@@ -42,7 +42,8 @@
 	// returnedAge is how old the last reading of the configuration is at most when
 	// the store counts as reached again.
 	returnedAge = time.Second
-	// fullyHeard is the part of the daemons that must be heard for that.
+	// fullyHeard is the part of the daemons that must be heard before requests are
+	// admitted ahead of the store.
 	fullyHeard = 0.9
 	// estimateInterval is the time between two updates of the estimates.
 	estimateInterval = 200 * time.Millisecond
