Responses that end before they are complete are counted and logged with their reason

Callers reported requests that ended without an answer; the log could not tell why a response that had begun was cut.

--- a/relay/log.go
+++ b/relay/log.go
@@ -26,6 +26,23 @@
 		Int64("config_version", r.Catalog.Version).Int("runs", r.runs)
 }
 
+// recordIncomplete logs and counts a response that ended before it was complete, with what
+// tells the reasons apart: how much time was left, and whether the configuration changed
+// meanwhile.
+func (r *activeRequest) recordIncomplete(err error) {
+	code := result.CodeOf(err)
+	r.server.metrics.incomplete.WithLabelValues(code.String()).Inc()
+	inForce := r.Catalog.Version
+	if cat := r.server.board.Catalog.Value(); cat != nil {
+		inForce = cat.Version
+	}
+	r.server.log.Warn().Str("request", r.ID).Str("route", r.Route.Name).Str("result", code.String()).
+		Strs("engines", r.tried).Int("runs", r.runs).Int("rejections", r.rejections).Int64("event", r.lastEvent).
+		Dur("took", clock.Since(r.Received)).Dur("time_left", r.deadline.Sub(clock.Now())).
+		Int64("config_version", r.Catalog.Version).Int64("config_in_force", inForce).
+		Msg("response ended before it was complete")
+}
+
 // RecordFailure logs and counts a request that got no complete response.
 func (s *Server) RecordFailure(id string, err error) {
 	e := result.FromError(err)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -15,6 +15,7 @@
 // Metrics holds the Prometheus metrics of a Server.
 type Metrics struct {
 	requests   *prometheus.CounterVec // by result
+	incomplete *prometheus.CounterVec // by result
 	retries    prometheus.Counter
 	admission  prometheus.Histogram // seconds
 	firstEvent prometheus.Histogram // seconds
@@ -28,6 +29,10 @@
 			Name: "baobab_relay_requests_total",
 			Help: "Requests by the name of their result code, or served.",
 		}, []string{"result"}),
+		incomplete: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "baobab_relay_incomplete_responses_total",
+			Help: "Responses that had begun and ended before they were complete, by the name of their result code.",
+		}, []string{"result"}),
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "baobab_relay_retries_total",
 			Help: "Attempts after the first one of a request.",
@@ -43,7 +48,7 @@
 			Buckets: []float64{0.03, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1, 2, 5},
 		}),
 	}
-	reg.MustRegister(m.requests, m.retries, m.admission, m.firstEvent)
+	reg.MustRegister(m.requests, m.incomplete, m.retries, m.admission, m.firstEvent)
 	return m
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -93,6 +93,7 @@
 	if err == nil {
 		r.recordServed()
 	} else if r.responseStarted {
+		r.recordIncomplete(err)
 		s.RecordFailure(req.ID, err)
 	}
 	return r.responseStarted, err
