A silent engine keeps its stream until another one takes it over

Callers saw streams that ended without a whole answer, or 502 (outcome_unknown) with most of their time left, though their engine was sound and had only paused for a second.

Cause: relay cancelled a resumable attempt after 0.9 s without a first event, or 0.6 s between two, before another engine had the request. When none had a place, or those that had rejected it, tryEngines ended the request. The class of fault: work is given up on a suspicion before its replacement stands.

Change: the silence starts a search for a successor beside the silent attempt, which goes on if an event comes first. The attempt ends when another engine begins to respond, or has not rejected the request for 0.3 s, so that two work on it for less than 0.4 s. Attempts of a search that is withdrawn count as runs. attempt.go holds what was attempt's part of server.go; reasons of incomplete responses are in the log again (cause).

Result: TestSilentEngineKeepsItsStreamWhileNoOtherTakesIt failed before in all 4 cases answered 200 "... event 2" unexpected EOF, want the whole stream (0.63 s) answered 502 outcome_unknown, want the whole stream (0.93 s) and passes; so does TestSilentStreamGoesOnAtEngineThatTakesIt, which bounds two engines at work by 400 ms.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 
-	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/result"
 )
@@ -19,44 +19,60 @@
 
 // forward passes the engine's response on to the sink. A response that is not a
 // successful stream cannot follow a part of an earlier one.
-func (r *activeRequest) forward(response *Response, engine *blackboard.Engine, silence *silenceWatch) error {
-	if response.IsEventStream && response.Class == Succeeded {
-		return r.forwardEvents(response, engine, silence)
+func (r *activeRequest) forward(a *attempt, silence *silenceWatch) error {
+	if a.response.IsEventStream && a.response.Class == Succeeded {
+		return r.forwardEvents(a, silence)
 	}
 	silence.stop()
 	if r.responseStarted {
-		return result.New(result.AnswerIncomplete, result.MayHaveRun)
+		return a.incomplete(errNoStream)
 	}
-	return r.forwardBody(response)
+	return r.forwardBody(a)
+}
+
+// Reasons for which a response is incomplete.
+var (
+	errNoStream        = errors.New("relay: response is no stream that can follow the events before it")
+	errResponseTooLong = errors.New("relay: response is larger than 16 MiB")
+)
+
+// incomplete keeps the reason for which the response of the attempt is incomplete, and
+// returns the error of the request.
+func (a *attempt) incomplete(cause error) error {
+	a.cause = cause
+	return result.New(result.AnswerIncomplete, result.MayHaveRun)
 }
 
 // forwardBody passes a body on to the sink: as a whole if it is short, otherwise as it
 // arrives. It fails, so that the caller's response is visibly incomplete, if the body
 // breaks off or is longer than maxResponseBytes.
-func (r *activeRequest) forwardBody(response *Response) error {
-	body := io.LimitReader(response.Body, maxResponseBytes+1)
+func (r *activeRequest) forwardBody(a *attempt) error {
+	body := io.LimitReader(a.response.Body, maxResponseBytes+1)
 	held, err := io.ReadAll(io.LimitReader(body, maxHeldBytes))
 	if err != nil {
-		return result.New(result.AnswerIncomplete, result.MayHaveRun)
+		return a.incomplete(err)
 	}
-	if err := r.startResponse(response); err != nil {
+	if err := r.startResponse(a.response); err != nil {
 		return err
 	}
 	if err := r.write(held); err != nil || len(held) < maxHeldBytes {
 		return err
 	}
-	return r.forwardRest(body)
+	return r.forwardRest(a, body)
 }
 
 // forwardRest passes on the part of a long body that was not held.
-func (r *activeRequest) forwardRest(body io.Reader) error {
+func (r *activeRequest) forwardRest(a *attempt, body io.Reader) error {
 	buf := make([]byte, readBufferBytes)
 	total := maxHeldBytes
 	for {
 		n, err := body.Read(buf)
 		total += n
-		if total > maxResponseBytes || err != nil && err != io.EOF {
-			return result.New(result.AnswerIncomplete, result.MayHaveRun)
+		if total > maxResponseBytes {
+			return a.incomplete(errResponseTooLong)
+		}
+		if err != nil && err != io.EOF {
+			return a.incomplete(err)
 		}
 		if writeErr := r.write(buf[:n]); writeErr != nil || err == io.EOF {
 			return writeErr
@@ -91,25 +107,28 @@
 // forwardEvents passes complete events on as they arrive, except those that the
 // caller already has from an earlier attempt. A stream that ends within an event is
 // incomplete.
-func (r *activeRequest) forwardEvents(response *Response, engine *blackboard.Engine, silence *silenceWatch) error {
-	reader := NewEventReader(response.Body)
-	meter := IntervalMeter{Health: &engine.Load.Health}
+func (r *activeRequest) forwardEvents(a *attempt, silence *silenceWatch) error {
+	reader := NewEventReader(a.response.Body)
+	meter := IntervalMeter{Health: &a.engine.Load.Health}
 	for {
 		events, err := reader.Next()
 		if err == io.EOF && len(bytes.TrimSpace(reader.Rest())) == 0 {
-			return r.startResponse(response)
+			return r.startResponse(a.response)
+		}
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return result.New(result.AnswerIncomplete, result.MayHaveRun)
+			return a.incomplete(err)
 		}
-		if err := r.startResponse(response); err != nil {
+		if err := r.startResponse(a.response); err != nil {
 			return err
 		}
-		silence.eventArrived()
 		meter.Observe(len(events), clock.Now())
 		if err := r.forwardNewEvents(events); err != nil {
 			return err
 		}
+		silence.eventArrived(r.lastEvent)
 	}
 }
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -12,7 +12,7 @@
 func (r *activeRequest) recordServed() {
 	r.server.metrics.recordServed(r.admittedAt.Sub(r.Received), r.responseStartedAt.Sub(r.Received))
 	r.server.log.Info().Str("request", r.ID).Str("workspace", r.WorkspaceName()).Str("route", r.Route.Name).
-		Strs("engines", r.tried).Int("engine_online", r.engineOnline).Int("engine_busy", r.engineBusy).
+		Strs("engines", r.triedIDs()).Int("engine_online", r.engineOnline).Int("engine_busy", r.engineBusy).
 		Int("reported_running", r.reportedRunning).Int("reported_waiting", r.reportedWaiting).
 		Dur("admitted", r.admittedAt.Sub(r.Received)).Dur("first_event", r.responseStartedAt.Sub(r.Received)).
 		Dur("took", clock.Since(r.Received)).Int64("config_version", r.Catalog.Version).Int("runs", r.runs).
@@ -37,7 +37,7 @@
 		inForce = cat.Version
 	}
 	r.server.log.Warn().Str("request", r.ID).Str("route", r.Route.Name).Str("result", code.String()).
-		Strs("engines", r.tried).Int("runs", r.runs).Int("rejections", r.rejections).Int64("event", r.lastEvent).
+		Strs("engines", r.triedIDs()).Int("runs", r.runs).Int("rejections", r.rejections).Int64("event", r.lastEvent).
 		Dur("took", clock.Since(r.Received)).Dur("time_left", r.deadline.Sub(clock.Now())).
 		Int64("config_version", r.Catalog.Version).Int64("config_in_force", inForce).
 		Msg("response ended before it was complete")
--- a/relay/request.go
+++ b/relay/request.go
@@ -97,6 +97,9 @@
 	Body io.ReadCloser
 }
 
+// failed reports whether the engine failed to do what was asked for.
+func (r *Response) failed() bool { return r.Class == Failed || r.Class == Unavailable }
+
 // recordLoad records the load that the engine reported with its response.
 func (r *Response) recordLoad(engine *blackboard.Engine) {
 	if r.Running >= 0 {
