A request that may have run waits for a place instead of ending at once

Callers saw a begun stream cut, or 502, with seconds of their time left, when their engine broke off while all others were full or rejected for a moment.

Cause: chooseEngine finds no engine with a place, or more than 6 engines reject, and tryEngines ends the request. For a request that did not run this is right: the caller gets 503 at once and may come again. For one that may have run it is not: the caller gets no promise, and a begun stream just ends.

One that did not run is refused at once as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -94,8 +94,11 @@
 	for {
 		if next == nil {
 			engine := r.chooseEngine()
+			if engine == nil && r.mayWaitForPlace() && timer.Sleep(ctx, placeInterval) {
+				continue
+			}
 			if engine == nil {
-				return r.finalError(result.New(result.NoUpstream, result.NotRun).WithRetryAfter(busyRetryAfter))
+				return r.noPlaceError(ctx)
 			}
 			next = r.newAttempt(ctx, engine)
 		}
@@ -124,6 +127,10 @@
 	}
 }
 
+// mayWaitForPlace reports whether the request waits until an engine has a place. One that
+// did not run is rejected at once instead, since its caller may send it again.
+func (r *activeRequest) mayWaitForPlace() bool { return r.runs > 0 && r.mayRunAgain() }
+
 // mayRunAgain reports whether the request may be sent to one more engine that may run it.
 func (r *activeRequest) mayRunAgain() bool {
 	if r.responseStarted && r.Route.Kind != catalog.KindStreaming {
@@ -132,6 +139,14 @@
 	return r.Route.CanRepeat() && r.runs < r.Route.MaxAttempts
 }
 
+// noPlaceError returns the error of a request for which no engine has a place.
+func (r *activeRequest) noPlaceError(ctx context.Context) error {
+	if r.runs > 0 && ctx.Err() != nil {
+		return r.contextError(ctx)
+	}
+	return r.finalError(result.New(result.NoUpstream, result.NotRun).WithRetryAfter(busyRetryAfter))
+}
+
 // finalError returns err, or OutcomeUnknown if the last attempt did not run but an
 // earlier one may have.
 func (r *activeRequest) finalError(err error) error {
@@ -159,7 +174,7 @@
 func (r *activeRequest) allowRetry(err error) bool {
 	if result.FromError(err).Verdict == result.NotRun {
 		r.rejections++
-		return r.rejections <= maxRejections
+		return r.rejections <= maxRejections || r.mayWaitForPlace()
 	}
 	return r.mayRunAgain()
 }
