The copy of a silent request is written only by a search

No caller saw a fault. The fork is now written only when a search starts. relay and platform pass with -race; the silence tests pass 3 times.

--- a/relay/successor.go
+++ b/relay/successor.go
@@ -115,10 +115,10 @@
 
 // startSearch starts a search for another engine, unless the watch has stopped.
 func (w *silenceWatch) startSearch(ctx context.Context, fork *activeRequest, a *attempt) {
-	fork.lastEvent = w.lastEvent.Load()
 	if !fork.mayRunAgain() {
 		return
 	}
+	fork.lastEvent = w.lastEvent.Load()
 	search := fork.newSearch(ctx, a)
 	w.search.Store(search)
 	if w.stopped.Load() { // successor may not have seen the search
