The soak plays planned work beside silent engines and changes of the configuration

The soak's quiet phase checked one planned stop with requests that are no streams, so it could not find streams that end without a whole answer. It now publishes configurations and lets the sound engines be silent for 1.1 s, twice, and checks streams that may resume too.

The check of requests that are no streams is as before.

--- a/entrytest/soak_check_test.go
+++ b/entrytest/soak_check_test.go
@@ -11,19 +11,32 @@
 // quietTime is the time without faults after which their effects count as over.
 const quietTime = 4 * time.Second
 
-// checkPlannedStop shuts one daemon down gracefully while callers send, and drains one
-// engine. No fault is injected meanwhile, so the daemon must cut no request that reached
-// an engine, and the engine must receive none later than drainTime after it began to
-// drain.
-func (s *soak) checkPlannedStop(c *callers) {
+// plannedSilence is how long the engines send nothing, twice, during checkPlannedWork, and
+// resumableAttempts the number of attempts that route resume allows.
+const (
+	plannedSilence    = 1100 * time.Millisecond
+	resumableAttempts = 3
+)
+
+// checkPlannedWork shuts one daemon down gracefully while callers send, and drains one
+// engine. Meanwhile the configuration changes and the engines, which are sound, are silent
+// now and then. No fault is injected, so the daemon must cut no request that reached an
+// engine, and the engine must receive none later than drainTime after it began to drain.
+func (s *soak) checkPlannedWork(c *callers) {
 	time.Sleep(quietTime)
 	leaving := s.engines[0]
 	s.fleet.register(leaving, "draining", 0)
 	drained := time.Now()
 	d := s.daemons[0]
-	s.logf("planned stop of %s, %s drains", d.name, leaving.id)
+	s.logf("planned stop of %s, %s drains, engines are silent, the configuration changes", d.name, leaving.id)
 	begin := time.Now()
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		s.changeConfigAndSilence()
+	}()
 	d.stop()
+	<-changed
 	end := time.Now()
 	d.process.start()
 	time.Sleep(time.Second)
@@ -39,12 +52,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, a := range c.requests {
-		if a.daemon == d && a.kind == "repeat" && a.sent.After(begin) && a.ended.Before(end) && a.status == 0 && reached[a.id] > 0 {
-			s.fail("%s was cut by the planned stop of %s", a.id, d.name)
+		if a.sent.After(begin) && a.ended.Before(end) && a.wasCut(reached[a.id]) {
+			s.fail("%s was cut at %s beside planned work: status %d after %v, %q", a.id, a.daemon.name, a.status, a.ended.Sub(a.sent), a.body)
 		}
 	}
 }
 
+// changeConfigAndSilence publishes configurations and lets the engines be silent twice.
+func (s *soak) changeConfigAndSilence() {
+	for range 2 {
+		s.silentUntil.Store(time.Now().Add(plannedSilence).UnixNano())
+		for range 4 {
+			s.mu.Lock()
+			s.fleet.publish()
+			s.mu.Unlock()
+			time.Sleep(plannedSilence / 2)
+		}
+	}
+}
+
+// wasCut reports whether the request, which reached engines as often as given, ended without
+// a whole answer though another attempt was allowed.
+func (a *callerRequest) wasCut(reached int) bool {
+	switch a.kind {
+	case "repeat":
+		return reached > 0 && a.status == 0
+	case "resume":
+		return reached > 0 && reached < resumableAttempts && (a.status == 0 || a.status == http.StatusOK && !a.complete)
+	default:
+		return false
+	}
+}
+
 // checkJobs waits until the accepted jobs are complete and checks their results. A job
 // whose cancellation was sent need not become complete.
 func (s *soak) checkJobs(c *callers) {
--- a/entrytest/soak_test.go
+++ b/entrytest/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -70,6 +71,7 @@
 	engineLinks []*loopback.Proxy
 	keys        []string
 	began       time.Time
+	silentUntil atomic.Int64 // Unix time in ns until which the engines send no events
 
 	mu             sync.Mutex
 	arrivals       []arrival
@@ -121,7 +123,7 @@
 	c.run(ctx, seed)
 	s.injectFaults(ctx, s.schedule(random, *soakLength))
 	s.waitRecovered()
-	s.checkPlannedStop(c)
+	s.checkPlannedWork(c)
 	stop()
 	c.wg.Wait()
 	s.checkJobs(c)
@@ -212,6 +214,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	for n := firstEvent(r); n <= soakEventCount; n++ {
+		if !sleepUntil(r.Context(), s.silentUntil.Load()) {
+			return
+		}
 		if _, err := w.Write([]byte(soakEvent(id, n))); err != nil {
 			return
 		}
@@ -225,6 +230,16 @@
 	}
 }
 
+// sleepUntil waits until the Unix time in ns. It reports false if ctx is done before.
+func sleepUntil(ctx context.Context, unixNano int64) bool {
+	select {
+	case <-time.After(time.Until(time.Unix(0, unixNano))):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // withdrawKey withdraws the second key of the workspace, once per soak.
 func (s *soak) withdrawKey() {
 	s.mu.Lock()
