Panics of handlers: a response that was given up looks broken, others are answered

What callers saw: a gateway's response that its handler gave up midway ended as a complete one, with its last chunk. On an entry daemon a handler's panic closed the connection without an answer.

Cause: go-zero's recover middleware takes http.ErrAbortHandler for any other panic, and the response then ends as usual. It wraps routes only; entry daemons serve without one, where net/http closes the connection after a panic.

Ruled out: a flag of the middleware, which has none.

Change: httpserve recovers itself, outside go-zero's router.

--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -43,6 +43,9 @@
 	// MethodNotAllowed serves requests whose path matches a route of another method only.
 	// If it is nil, go-zero answers them.
 	MethodNotAllowed http.Handler
+	// OnPanic responds to a request whose handler panicked before its response had begun.
+	// If it is nil, the response is status 500.
+	OnPanic http.Handler
 }
 
 // Server serves routes on a listener of its own. Its methods may be called from several
@@ -76,7 +79,10 @@
 		listener: listener,
 		done:     make(chan struct{}),
 	}
-	s.http.Handler = s.closeWhenDraining(handler)
+	if opts.OnPanic == nil {
+		opts.OnPanic = http.HandlerFunc(internalError)
+	}
+	s.http.Handler = s.closeWhenDraining(recoverPanics(handler, opts.OnPanic))
 	go s.serve()
 	return s, nil
 }
@@ -87,11 +93,9 @@
 	s.err = s.http.Serve(s.listener)
 }
 
-// newRouter returns a handler that passes requests to the routes, and answers with status
-// 500 if one of them panics.
+// newRouter returns a handler that passes requests to the routes. It does not recover from
+// their panics: go-zero's middleware would complete a response that was given up.
 func newRouter(routes []rest.Route, opts Options) (http.Handler, error) {
-	conf := rest.RestConf{}
-	conf.Middlewares.Recover = true
 	var run []rest.RunOption
 	if opts.NotFound != nil {
 		run = append(run, rest.WithNotFoundHandler(opts.NotFound))
@@ -99,7 +103,7 @@
 	if opts.MethodNotAllowed != nil {
 		run = append(run, rest.WithNotAllowedHandler(opts.MethodNotAllowed))
 	}
-	server, err := rest.NewServer(conf, run...)
+	server, err := rest.NewServer(rest.RestConf{}, run...)
 	if err != nil {
 		return nil, fmt.Errorf("set up http server: %w", err)
 	}
