Every request that ends without a complete response is counted and logged with its cause

What operators saw: a caller's stream was cut, or a connection ended without an answer, and no metric and no line said which of the ways it was: given up by the relay, a panic (its stack went to standard error only), the end of the grace time, or the caller's own close.

Change: httpserve watches each handler. A response that stays incomplete is counted in baobab_http_ended_requests_total by cause, and gets a line with the request, the cause, how much was written, and the stack of a panic. When connections are closed with requests running, the server waits up to 200 ms for their handlers, so that their lines are written before the process ends. Messages of net/http go to the same log.

Ruled out: counting in the relay alone, which doesn't see panics and closed connections.

Result: TestCutStreamIsCounted before:

ends_test.go:42: baobab_http_ended_requests_total{cause="given_up"} is "", want 1

It passes now, as TestIncompleteResponsesAreRecorded does, which plays all causes.

--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -46,6 +46,9 @@
 	// OnPanic responds to a request whose handler panicked before its response had begun.
 	// If it is nil, the response is status 500.
 	OnPanic http.Handler
+	// Ends records the requests that end without a complete response. If it is nil, they
+	// are not recorded.
+	Ends *EndLog
 }
 
 // Server serves routes on a listener of its own. Its methods may be called from several
@@ -53,9 +56,14 @@
 type Server struct {
 	http     http.Server
 	listener net.Listener
+	ends     *EndLog
 	draining atomic.Bool
 	done     chan struct{} // closed when serve returns
 	err      error         // returned by http.Server.Serve; written before done is closed, read after
+
+	running   atomic.Int64             // requests in the handler
+	closedFor atomic.Pointer[endCause] // why the connections were closed, or nil
+	idle      chan struct{}            // has a value once the last request ended after that
 }
 
 // Listen starts a server for the routes at the address, HOST:PORT. It returns an error
@@ -77,12 +85,17 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 		listener: listener,
+		ends:     opts.Ends,
 		done:     make(chan struct{}),
+		idle:     make(chan struct{}, 1),
+	}
+	if s.ends != nil {
+		s.http.ErrorLog = s.ends.log.Std("", 0)
 	}
 	if opts.OnPanic == nil {
 		opts.OnPanic = http.HandlerFunc(internalError)
 	}
-	s.http.Handler = s.closeWhenDraining(recoverPanics(handler, opts.OnPanic))
+	s.http.Handler = s.closeWhenDraining(s.watch(handler, opts.OnPanic))
 	go s.serve()
 	return s, nil
 }
@@ -142,7 +155,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.http.Shutdown(ctx)
 	if err != nil {
-		s.http.Close()
+		s.closeFor(endStopTimeout)
 	}
 	<-s.done
 	if !errors.Is(s.err, http.ErrServerClosed) {
@@ -151,8 +164,40 @@
 	return err
 }
 
-// Close closes the listener and all connections without waiting for running requests.
+// Close closes the listener and all connections without waiting for running requests to
+// complete.
 func (s *Server) Close() {
-	s.http.Close()
+	s.closeFor(endClosed)
 	<-s.done
 }
+
+// handlerEndTimeout bounds the wait for handlers whose connections were closed, so that their
+// ends are recorded.
+const handlerEndTimeout = 200 * time.Millisecond
+
+// closeFor closes the listener and all connections, and waits until the handlers have ended,
+// at most handlerEndTimeout.
+func (s *Server) closeFor(cause endCause) {
+	s.closedFor.CompareAndSwap(nil, &cause)
+	s.http.Close()
+	timeout := time.NewTimer(handlerEndTimeout)
+	defer timeout.Stop()
+	for s.running.Load() > 0 {
+		select {
+		case <-s.idle:
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
+// requestEnded counts a request less, and wakes closeFor after the last one.
+func (s *Server) requestEnded() {
+	if s.running.Add(-1) > 0 || s.closedFor.Load() == nil {
+		return
+	}
+	select {
+	case s.idle <- struct{}{}:
+	default:
+	}
+}
