A SIGHUP while a daemon starts does not end it

What callers saw: nothing yet known from a run of the platform; a SIGHUP that came before the daemon had read its settings ended the process.

Cause: the handler of SIGHUP was set in a goroutine, after the settings were read. Without one, the signal ends the process. Those of SIGTERM and SIGINT were set after that too.

Change: all handlers are set first. A signal to stop that comes during the start stops the daemon gracefully once it has started.

Result: TestHangupDuringStartDoesNotEndTheDaemon (its settings file is a pipe) before:

signals_test.go:66: SIGHUP ended the daemon: exit code -1:

Now it passes. The time before main, in which the Go runtime starts, stays open.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,28 +36,34 @@
 // exit code. It calls start once to get the daemon. A second signal aborts the graceful
 // shutdown.
 func runDaemon(settings config.Settings, start func(config.Settings, *log.Logger) (Process, error)) int {
+	stops := notifyStops()
 	logger := NewLogger(settings)
-	return runProcess(logger, settings.DrainTimeout, func() (Process, error) { return start(settings, logger) })
+	return runProcess(logger, stops, settings.DrainTimeout, func() (Process, error) { return start(settings, logger) })
 }
 
-// runProcess calls start and runs the returned process until SIGTERM or SIGINT arrives.
-// It returns the exit code. The graceful shutdown is aborted after drain or by a second
+// notifyStops returns a channel that receives every SIGTERM and SIGINT.
+func notifyStops() <-chan os.Signal {
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	return stops
+}
+
+// runProcess calls start and runs the returned process until a signal comes from stops. It
+// returns the exit code. The graceful shutdown is aborted after drain or by a second
 // signal.
-func runProcess(logger *log.Logger, drain time.Duration, start func() (Process, error)) int {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func runProcess(logger *log.Logger, stops <-chan os.Signal, drain time.Duration, start func() (Process, error)) int {
 	process, err := start()
 	if err != nil {
 		logger.Error().Err(err).Msg("daemon failed to start")
 		return exitFailed
 	}
 	logger.Info().Msg("daemon started")
-	<-signals
+	<-stops
 	logger.Info().Msg("daemon is shutting down after a signal")
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
 	go func() {
-		<-signals
+		<-stops
 		cancel()
 	}()
 	if err := process.Stop(ctx); err != nil {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -74,6 +74,9 @@
 // settings from the file that the platform names in the environment. It returns the
 // exit code: 0 after a graceful shutdown, 1 after a failure, 2 for invalid settings.
 func EntryCommand() int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // first, since SIGHUP ends a process without a handler
+	stops := notifyStops()
 	path := os.Getenv(platform.SettingsEnv)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
@@ -82,8 +85,8 @@
 	}
 	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitFraction))
 	logger := newEntryLogger(settings)
-	go checkSettingsOnHangup(path, logger)
-	return runProcess(logger, settings.StopGrace-shutdownMargin, func() (Process, error) { return StartEntry(settings, logger) })
+	go checkSettingsOnHangup(hangups, path, logger)
+	return runProcess(logger, stops, settings.StopGrace-shutdownMargin, func() (Process, error) { return StartEntry(settings, logger) })
 }
 
 // newEntryLogger returns a logger that writes a bounded number of JSON lines per second
@@ -99,13 +102,11 @@
 	}
 }
 
-// checkSettingsOnHangup reads the settings file on every SIGHUP and logs whether it is
-// valid. The new settings are not applied, since the daemon's addresses are fixed until
-// it restarts.
-func checkSettingsOnHangup(path string, logger *log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+// checkSettingsOnHangup reads the settings file on every signal from hangups and logs
+// whether it is valid. The new settings are not applied, since the daemon's addresses are
+// fixed until it restarts.
+func checkSettingsOnHangup(hangups <-chan os.Signal, path string, logger *log.Logger) {
+	for range hangups {
 		_, err := platform.ReadSettings(path)
 		logger.Info().Err(err).Msg("settings file was checked after SIGHUP; changes take effect when the daemon restarts")
 	}
--- a/entrytest/process_test.go
+++ b/entrytest/process_test.go
@@ -46,9 +46,10 @@
 	settings string
 	output   *os.File
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	done     chan struct{}
+	exitCode int // of the last process that ended, or -1 if a signal ended it
 }
 
 // newProcess prepares a daemon that connects to the store at the address and logs to a
@@ -127,7 +128,10 @@
 		return false
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		p.exitCode = p.cmd.ProcessState.ExitCode()
+	}
 	p.cmd, p.done = nil, nil
-	p.mu.Unlock()
 	return true
 }
