A second SIGTERM during a planned stop cuts no request

What callers saw: streams that ended without a whole answer when a second SIGTERM came before the first one's stop was over.

Cause: any second signal cancelled the graceful shutdown, as a person at a terminal may want; supervisors repeat SIGTERM.

Change: during the stop, SIGTERM is logged and changes nothing; SIGINT still ends it at once. This holds for gateways and agents too.

Ruled out: SIGHUP during the stop, alone (it only reads the settings file), and changes of the configuration meanwhile; the test plays both.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,8 +33,7 @@
 }
 
 // runDaemon runs a gateway or agent until SIGTERM or SIGINT arrives and returns the
-// exit code. It calls start once to get the daemon. A second signal aborts the graceful
-// shutdown.
+// exit code. It calls start once to get the daemon. A SIGINT aborts the graceful shutdown.
 func runDaemon(settings config.Settings, start func(config.Settings, *log.Logger) (Process, error)) int {
 	stops := notifyStops()
 	logger := NewLogger(settings)
@@ -49,8 +48,8 @@
 }
 
 // runProcess calls start and runs the returned process until a signal comes from stops. It
-// returns the exit code. The graceful shutdown is aborted after drain or by a second
-// signal.
+// returns the exit code. The graceful shutdown is aborted after drain or by a SIGINT; a
+// repeated SIGTERM has no effect, since it must not cut requests that still run.
 func runProcess(logger *log.Logger, stops <-chan os.Signal, drain time.Duration, start func() (Process, error)) int {
 	process, err := start()
 	if err != nil {
@@ -63,8 +62,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drain)
 	defer cancel()
 	go func() {
-		<-stops
-		cancel()
+		for s := range stops {
+			logger.Info().Str("signal", s.String()).Msg("signal arrived during the shutdown")
+			if s == syscall.SIGINT {
+				cancel()
+			}
+		}
 	}()
 	if err := process.Stop(ctx); err != nil {
 		logger.Warn().Err(err).Msg("daemon shut down before all running work finished")
--- a/entrytest/signals_test.go
+++ b/entrytest/signals_test.go
@@ -1,8 +1,10 @@
 package entrytest
 
 import (
+	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -70,3 +72,37 @@
 	pipe.Close()
 	eventually(t, "the daemon is ready", p.ready)
 }
+
+// TestRepeatedSignalsCutNoRequest guards against requests that are cut because further
+// signals come during a planned stop, beside changes of the configuration.
+func TestRepeatedSignalsCutNoRequest(t *testing.T) {
+	f := newFleet(t)
+	for _, id := range []string{"i-1", "i-2"} {
+		f.startEngine(id, func(e *engine, w http.ResponseWriter, r *http.Request, _ int) {
+			streamUntil(e, w, r, e.eventCount, 600*time.Millisecond)
+		})
+	}
+	p, _ := f.newProcessOf("entry-1")
+	p.start()
+	eventually(t, "the daemon is ready", p.ready)
+	defer f.changeConfigWhile(t.Context())()
+	var callers sync.WaitGroup
+	for range 6 {
+		callers.Go(func() {
+			for p.ready() {
+				if got := p.send(t.Context(), t, request{path: "/once/a", key: key}); got.status != http.StatusOK || got.err != nil {
+					t.Errorf("a request was answered %d %q %v, want a whole stream", got.status, got.body, got.err)
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		p.signal(s)
+		time.Sleep(100 * time.Millisecond)
+	}
+	callers.Wait()
+	if !p.wait(8*time.Second) || p.exitCode != 0 {
+		t.Errorf("the daemon ended with exit code %d, want 0 within its grace time", p.exitCode)
+	}
+}
