The last lines of an entry daemon's log are written before it exits

What operators saw: a planned stop whose log ends without "daemon shut down", like that of a process that ended by itself; the lines of requests cut at the end could be lost too.

Cause: the queue before standard output was not emptied before the process exited.

Ruled out: closing the queue, since a goroutine that still logs would then panic.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -25,7 +25,6 @@
 	"github.com/baobablanding/baobablanding/controller/roster"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/job"
-	"github.com/baobablanding/baobablanding/logbudget"
 	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/relay"
 	"github.com/baobablanding/baobablanding/timer"
@@ -50,9 +49,6 @@
 	// shutdownMargin is the end of the grace time that is reserved for exiting after
 	// the running requests were aborted.
 	shutdownMargin = 600 * time.Millisecond
-	// logQueueLines is the number of log lines that may wait for a slow reader of
-	// standard output.
-	logQueueLines = 4096
 )
 
 // Entry is a running entry daemon. It serves callers directly from the engines that are
@@ -84,24 +80,12 @@
 		return exitUsage
 	}
 	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitFraction))
-	logger := newEntryLogger(settings)
+	logger, flush := newEntryLogger(settings)
+	defer flush()
 	go checkSettingsOnHangup(hangups, path, logger)
 	return runProcess(logger, stops, settings.StopGrace-shutdownMargin, func() (Process, error) { return StartEntry(settings, logger) })
 }
 
-// newEntryLogger returns a logger that writes a bounded number of JSON lines per second
-// to standard output. It drops lines instead of waiting for a slow reader.
-func newEntryLogger(settings platform.Settings) *log.Logger {
-	return &log.Logger{
-		Level:      log.InfoLevel,
-		TimeFormat: time.RFC3339Nano,
-		Context:    log.NewContext(nil).Str("name", settings.VMName).Value(),
-		Writer: logbudget.New(&log.AsyncWriter{
-			ChannelSize: logQueueLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout},
-		}),
-	}
-}
-
 // checkSettingsOnHangup reads the settings file on every signal from hangups and logs
 // whether it is valid. The new settings are not applied, since the daemon's addresses are
 // fixed until it restarts.
--- a/entrytest/signals_test.go
+++ b/entrytest/signals_test.go
@@ -106,3 +106,20 @@
 		t.Errorf("the daemon ended with exit code %d, want 0 within its grace time", p.exitCode)
 	}
 }
+
+// TestLastLineOfTheLogIsWritten guards against a planned stop that looks like the end of a
+// process by itself because the last lines of the log are lost.
+func TestLastLineOfTheLogIsWritten(t *testing.T) {
+	f := newFleet(t)
+	f.startEngine("i-1", stream)
+	p, logFile := f.newProcessOf("entry-1")
+	p.start()
+	eventually(t, "the daemon is ready", p.ready)
+	p.signal(syscall.SIGTERM)
+	if !p.wait(8*time.Second) || p.exitCode != 0 {
+		t.Errorf("the daemon ended with exit code %d, want 0 within its grace time", p.exitCode)
+	}
+	if text := readFile(t, logFile); !strings.Contains(text, `"daemon shut down"`) {
+		t.Errorf("the log does not say that the daemon shut down: %s", text)
+	}
+}
