A log that nobody reads any more does not end an entry daemon

What callers saw: when the reader of a daemon's standard output ends, all its requests end without an answer.

Cause: Go lets a failed write to standard output end the process by SIGPIPE.

Change: entry daemons ignore SIGPIPE; lines are then lost, as with a slow reader.

Result: TestClosedOutputDoesNotEndTheDaemon before:

signals_test.go:149: the daemon ended with exit code -1

Now it passes.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -73,6 +73,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP) // first, since SIGHUP ends a process without a handler
 	stops := notifyStops()
+	signal.Ignore(syscall.SIGPIPE) // else a log that nobody reads ends the process
 	path := os.Getenv(platform.SettingsEnv)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
--- a/entrytest/signals_test.go
+++ b/entrytest/signals_test.go
@@ -123,3 +123,30 @@
 		t.Errorf("the log does not say that the daemon shut down: %s", text)
 	}
 }
+
+// TestClosedOutputDoesNotEndTheDaemon guards against a daemon that ends because nobody reads
+// its log any more.
+func TestClosedOutputDoesNotEndTheDaemon(t *testing.T) {
+	f := newFleet(t)
+	f.startEngine("i-1", stream)
+	p, _ := f.newProcessOf("entry-1")
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.output.Close()
+	p.output = writer
+	p.start()
+	eventually(t, "the daemon is ready", p.ready)
+	writer.Close()
+	reader.Close()
+	for range 5 {
+		if got := p.send(t.Context(), t, request{path: "/once/a", key: key}); got.status != http.StatusOK || got.err != nil {
+			t.Fatalf("answered %d %v after the reader of the log had gone, want 200", got.status, got.err)
+		}
+		p.signal(syscall.SIGHUP)
+		if p.wait(100 * time.Millisecond) {
+			t.Fatalf("the daemon ended with exit code %d", p.exitCode)
+		}
+	}
+}
