A refusal waits for the rest of a long body, so that the caller gets it

What callers saw: a refusal (401, 404, 503) sent while over 256 KiB of the body were still to come ended the connection with a reset. A caller that sends its whole request before it reads got an error of its connection instead of the answer, for instance beside a change of the configuration that withdraws its key or route.

Cause: net/http reads at most 256 KiB after a response that didn't need the body, waits 500 ms and closes; unread bytes then reset the connection.

Ruled out: full duplex, which doesn't keep the connection from being closed; a longer wait before the close, which net/http doesn't offer.

Change: before a response begins, the front server reads and drops the rest of the body, up to the longest body of the configuration and for 2 s. A body that is declared longer isn't waited for. Nothing of it is held in memory.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -153,6 +153,7 @@
 	if e.front, err = httpserve.Listen(settings.CallerAddress, nil, httpserve.Options{
 		ReadHeaderTimeout: entryHeaderTimeout, NotFound: handler, MethodNotAllowed: handler,
 		OnPanic: http.HandlerFunc(platform.PanicResponse),
+		MaxBody: func() int64 { return platform.MaxBodyBytes(e.board.Catalog.Value()) },
 		Ends:    httpserve.NewEndLog(reg, e.log, platform.RequestID),
 	}); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
--- a/httpserve/response.go
+++ b/httpserve/response.go
@@ -10,22 +10,32 @@
 type response struct {
 	http.ResponseWriter
 	received time.Time
-	begun    bool  // the status was written
-	failed   bool  // a part could not be written
-	written  int64 // bytes of the body
+	body     *requestBody // whose rest is read before the response begins, or nil
+	maxRest  int64        // bytes of that
+	begun    bool         // the status was written
+	failed   bool         // a part could not be written
+	written  int64        // bytes of the body
+}
+
+// begin reads the rest of the request's body before the response begins.
+func (w *response) begin() {
+	if !w.begun && w.body != nil {
+		w.body.readRest(w.ResponseWriter, w.maxRest)
+	}
+	w.begun = true
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *response) WriteHeader(status int) {
 	if status >= http.StatusOK { // others are interim responses
-		w.begun = true
+		w.begin()
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (w *response) Write(data []byte) (int, error) {
-	w.begun = true
+	w.begin()
 	n, err := w.ResponseWriter.Write(data)
 	w.written += int64(n)
 	w.failed = w.failed || err != nil
@@ -34,7 +44,7 @@
 
 // Flush implements http.Flusher, which go-zero requires of a writer.
 func (w *response) Flush() {
-	w.begun = true
+	w.begin()
 	if err := http.NewResponseController(w.ResponseWriter).Flush(); err != nil {
 		w.failed = true
 	}
@@ -51,7 +61,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.running.Add(1)
 		defer s.requestEnded()
-		resp := &response{ResponseWriter: w, received: time.Now()}
+		resp := s.newResponse(w, r)
 		defer func() {
 			value := recover()
 			cause := s.endCause(r, resp, value)
@@ -72,6 +82,20 @@
 	})
 }
 
+// newResponse returns the writer of the response to r. If the rest of the body is to be
+// read, it replaces the body of r.
+func (s *Server) newResponse(w http.ResponseWriter, r *http.Request) *response {
+	resp := &response{ResponseWriter: w, received: time.Now()}
+	if s.maxBody == nil || r.Body == http.NoBody {
+		return resp
+	}
+	if resp.maxRest = s.maxBody(); r.ContentLength <= resp.maxRest {
+		resp.body = &requestBody{ReadCloser: r.Body}
+		r.Body = resp.body
+	}
+	return resp
+}
+
 // endCause returns why the request ended without a complete response, or "" if its response
 // is complete. panicked is the value of the handler's panic, or nil.
 func (s *Server) endCause(r *http.Request, resp *response, panicked any) endCause {
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -46,6 +46,9 @@
 	// OnPanic responds to a request whose handler panicked before its response had begun.
 	// If it is nil, the response is status 500.
 	OnPanic http.Handler
+	// MaxBody returns the size in bytes of the longest body that is read to its end before a
+	// response that does not need it. If it is nil, such a response is sent at once.
+	MaxBody func() int64
 	// Ends records the requests that end without a complete response. If it is nil, they
 	// are not recorded.
 	Ends *EndLog
@@ -57,6 +60,7 @@
 	http     http.Server
 	listener net.Listener
 	ends     *EndLog
+	maxBody  func() int64
 	draining atomic.Bool
 	done     chan struct{} // closed when serve returns
 	err      error         // returned by http.Server.Serve; written before done is closed, read after
@@ -86,6 +90,7 @@
 		},
 		listener: listener,
 		ends:     opts.Ends,
+		maxBody:  opts.MaxBody,
 		done:     make(chan struct{}),
 		idle:     make(chan struct{}, 1),
 	}
