--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -25,7 +25,6 @@
 	"github.com/baobablanding/baobablanding/controller/roster"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/job"
-	"github.com/baobablanding/baobablanding/logbudget"
 	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/relay"
 	"github.com/baobablanding/baobablanding/timer"
@@ -50,9 +49,6 @@
 	// shutdownMargin is the end of the grace time that is reserved for exiting after
 	// the running requests were aborted.
 	shutdownMargin = 600 * time.Millisecond
-	// logQueueLines is the number of log lines that may wait for a slow reader of
-	// standard output.
-	logQueueLines = 4096
 )
 
 // Entry is a running entry daemon. It serves callers directly from the engines that are
@@ -74,6 +70,10 @@
 // settings from the file that the platform names in the environment. It returns the
 // exit code: 0 after a graceful shutdown, 1 after a failure, 2 for invalid settings.
 func EntryCommand() int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // first, since SIGHUP ends a process without a handler
+	stops := notifyStops()
+	signal.Ignore(syscall.SIGPIPE) // else a log that nobody reads ends the process
 	path := os.Getenv(platform.SettingsEnv)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
@@ -81,31 +81,17 @@
 		return exitUsage
 	}
 	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitFraction))
-	logger := newEntryLogger(settings)
-	go checkSettingsOnHangup(path, logger)
-	return runProcess(logger, settings.StopGrace-shutdownMargin, func() (Process, error) { return StartEntry(settings, logger) })
+	logger, flush := newEntryLogger(settings)
+	defer flush()
+	go checkSettingsOnHangup(hangups, path, logger)
+	return runProcess(logger, stops, settings.StopGrace-shutdownMargin, func() (Process, error) { return StartEntry(settings, logger) })
 }
 
-// newEntryLogger returns a logger that writes a bounded number of JSON lines per second
-// to standard output. It drops lines instead of waiting for a slow reader.
-func newEntryLogger(settings platform.Settings) *log.Logger {
-	return &log.Logger{
-		Level:      log.InfoLevel,
-		TimeFormat: time.RFC3339Nano,
-		Context:    log.NewContext(nil).Str("name", settings.VMName).Value(),
-		Writer: logbudget.New(&log.AsyncWriter{
-			ChannelSize: logQueueLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout},
-		}),
-	}
-}
-
-// checkSettingsOnHangup reads the settings file on every SIGHUP and logs whether it is
-// valid. The new settings are not applied, since the daemon's addresses are fixed until
-// it restarts.
-func checkSettingsOnHangup(path string, logger *log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+// checkSettingsOnHangup reads the settings file on every signal from hangups and logs
+// whether it is valid. The new settings are not applied, since the daemon's addresses are
+// fixed until it restarts.
+func checkSettingsOnHangup(hangups <-chan os.Signal, path string, logger *log.Logger) {
+	for range hangups {
 		_, err := platform.ReadSettings(path)
 		logger.Info().Err(err).Msg("settings file was checked after SIGHUP; changes take effect when the daemon restarts")
 	}
@@ -166,6 +152,9 @@
 	}
 	if e.front, err = httpserve.Listen(settings.CallerAddress, nil, httpserve.Options{
 		ReadHeaderTimeout: entryHeaderTimeout, NotFound: handler, MethodNotAllowed: handler,
+		OnPanic: http.HandlerFunc(platform.PanicResponse),
+		MaxBody: func() int64 { return platform.MaxBodyBytes(e.board.Catalog.Value()) },
+		Ends:    httpserve.NewEndLog(reg, e.log, platform.RequestID),
 	}); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
