A stream goes on only with the events after the caller's last one

What callers saw: after a resumable stream broke off and another engine answered with a stream, its events with some missing, or a text without a number, such as the head of an error inside the body, in the middle of the stream, which then ended as complete.

Cause: forwardNewEvents passed on every event without a number, and every one above the last, however far above.

Ruled out, by cases that pass on the unchanged code: the text of a response with an error status, a redirect, a body that is no stream, or none; a stream from its start; a stream without length or chunks that ends in an event.

Change: EventSequence decides which events of a response follow. The first new one after a resume must have the next number, and an event without a number cannot follow one that has one. Comments and blank lines pass. EventReader tells a stream that ends in an event from a complete one.

--- a/relay/events.go
+++ b/relay/events.go
@@ -13,6 +13,8 @@
 	Raw []byte
 	// Number is the event's id, or -1 if it has no numeric id.
 	Number int64
+	// IsComment reports whether the event has nothing but comments and blank lines.
+	IsComment bool
 	// Data is the content of the event's data lines, joined by newlines.
 	Data []byte
 }
@@ -40,14 +42,18 @@
 }
 
 // Next waits for at least one event and returns all that have arrived. At the end
-// of the stream it returns io.EOF, after a failed read the error of that read. Rest
-// then returns the bytes after the last event. Next fails once more than 256 KiB
-// have arrived without the end of an event.
+// of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the stream ended within an
+// event; after a failed read it returns the error of that read. Rest then returns the
+// bytes after the last event. Next fails once more than 256 KiB have arrived without the
+// end of an event.
 func (r *EventReader) Next() ([]Event, error) {
 	for {
 		if events := r.takeEvents(); len(events) > 0 {
 			return events, nil
 		}
+		if r.err == io.EOF && len(bytes.TrimSpace(r.buf)) > 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
 		if r.err != nil {
 			return nil, r.err
 		}
@@ -78,11 +84,12 @@
 }
 
 func parseEvent(raw []byte) Event {
-	e := Event{Raw: raw, Number: -1}
+	e := Event{Raw: raw, Number: -1, IsComment: true}
 	first := true
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
+		e.IsComment = e.IsComment && (len(line) == 0 || line[0] == ':')
 		switch string(name) {
 		case "id":
 			if n, err := strconv.ParseInt(string(value), 10, 64); err == nil {
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -65,6 +65,16 @@
 	})
 }
 
+func TestCommentsAndBlankLinesAreNoEvents(t *testing.T) {
+	for raw, want := range map[string]bool{
+		"\n\n": true, ": a\n\n": true, ": a\n:\n\n": true, ": a\ndata: b\n\n": false, "data: a\n\n": false, "HTTP/1.1 503 Busy\n\n": false,
+	} {
+		if got := parseEvent([]byte(raw)).IsComment; got != want {
+			t.Errorf("%q is a comment: %v", raw, got)
+		}
+	}
+}
+
 func TestNextRejectsTooLargeEvent(t *testing.T) {
 	_, _, err := readAll(strings.NewReader("data: " + strings.Repeat("x", 3*maxEventBytes)))
 	if !errors.Is(err, errEventTooLarge) {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"io"
 
@@ -104,44 +103,57 @@
 	return nil
 }
 
-// forwardEvents passes complete events on as they arrive, except those that the
-// caller already has from an earlier attempt. A stream that ends within an event is
-// incomplete.
+// forwardEvents passes complete events on as they arrive, except those that the caller
+// already has from an earlier attempt. A stream that ends within an event, or does not go
+// on after the caller's last event, is incomplete.
 func (r *activeRequest) forwardEvents(a *attempt, silence *silenceWatch) error {
 	reader := NewEventReader(a.response.Body)
+	sequence := EventSequence{Last: r.lastEvent}
 	meter := IntervalMeter{Health: &a.engine.Load.Health}
 	for {
 		events, err := reader.Next()
-		if err == io.EOF && len(bytes.TrimSpace(reader.Rest())) == 0 {
-			return r.startResponse(a.response)
-		}
 		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
+			return r.startResponse(a.response)
 		}
 		if err != nil {
 			return a.incomplete(err)
 		}
-		if err := r.startResponse(a.response); err != nil {
-			return err
-		}
 		meter.Observe(len(events), clock.Now())
-		if err := r.forwardNewEvents(events); err != nil {
+		if err := r.forwardNewEvents(a, &sequence, events); err != nil {
 			return err
 		}
 		silence.eventArrived(r.lastEvent)
 	}
 }
 
-// forwardNewEvents passes on the events without a number and those numbered above
-// the last one that the caller has.
-func (r *activeRequest) forwardNewEvents(events []Event) error {
+// forwardNewEvents passes on the comments and the events that the caller lacks, up to the
+// first one that cannot follow.
+func (r *activeRequest) forwardNewEvents(a *attempt, sequence *EventSequence, events []Event) error {
 	var data []byte
-	for _, e := range events {
-		if e.Number >= 0 && e.Number <= r.lastEvent {
-			continue
+	var invalid error
+	for i := range events {
+		isNew := events[i].IsComment
+		if !isNew {
+			isNew, invalid = sequence.Accept(&events[i])
+		}
+		if invalid != nil {
+			break
+		}
+		if isNew {
+			data = append(data, events[i].Raw...)
 		}
-		data = append(data, e.Raw...)
-		r.lastEvent = max(r.lastEvent, e.Number)
 	}
-	return r.write(data)
+	if len(data) > 0 {
+		if err := r.startResponse(a.response); err != nil {
+			return err
+		}
+	}
+	r.lastEvent = sequence.Last
+	if err := r.write(data); err != nil {
+		return err
+	}
+	if invalid != nil {
+		return a.incomplete(invalid)
+	}
+	return nil
 }
--- /dev/null
+++ b/relay/sequence.go
@@ -0,0 +1,33 @@
+package relay
+
+import "errors"
+
+// Errors of EventSequence.Accept.
+var (
+	errEventsMissing   = errors.New("relay: stream does not go on after the last event")
+	errUnnumberedEvent = errors.New("relay: event without a number in a numbered stream")
+)
+
+// EventSequence follows the numbers of the events of one response.
+type EventSequence struct {
+	// Last is the number of the last event that the receiver has, or -1.
+	Last int64
+	// HasNew reports whether the response had an event that the receiver did not have.
+	HasNew bool
+}
+
+// Accept reports whether the receiver lacks the event. It fails if the event cannot follow
+// those that the receiver has: events are missing before the first new one of the
+// response, or the event has no number although the others have one.
+func (s *EventSequence) Accept(e *Event) (isNew bool, err error) {
+	switch {
+	case e.Number < 0 && s.Last >= 0:
+		return false, errUnnumberedEvent
+	case e.Number >= 0 && e.Number <= s.Last:
+		return false, nil
+	case !s.HasNew && s.Last >= 0 && e.Number > s.Last+1:
+		return false, errEventsMissing
+	}
+	s.HasNew, s.Last = true, max(s.Last, e.Number)
+	return true, nil
+}
