A stream without an event that ends with its connection is not complete

What callers saw: a stream with status 200 and nothing in it, or one that ended as complete before its last event.

Cause: an engine that ends after the head of a stream that has neither a length nor chunks closes a connection whose body is then empty and complete. The same answer to a resumption ended a stream that had begun as if nothing had been left.

Change: a stream with no new event is complete only if the caller has events already and the length or the last chunk says that nothing is left. Otherwise the request goes on as after any other break.

Before, go test ./platform -run 'OnlyTheRest|WithoutLength': first_has_no_events: the caller got "", <nil> connection_without_events: the caller got "id: 0.. id: 1..", <nil> after 0 bytes the caller got "", <nil> Now: ok. The other lengths, cut at each byte, passed before: a stream that ends inside an event was incomplete.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -113,7 +113,7 @@
 	for {
 		events, err := reader.Next()
 		if err == io.EOF {
-			return r.startResponse(a.response)
+			return r.endEvents(a, &sequence)
 		}
 		if err != nil {
 			return a.incomplete(err)
@@ -126,6 +126,14 @@
 	}
 }
 
+// endEvents ends a stream that the engine ended after a complete event.
+func (r *activeRequest) endEvents(a *attempt, sequence *EventSequence) error {
+	if err := sequence.CheckEnd(a.response); err != nil {
+		return a.incomplete(err)
+	}
+	return r.startResponse(a.response)
+}
+
 // forwardNewEvents passes on the comments and the events that the caller lacks, up to the
 // first one that cannot follow.
 func (r *activeRequest) forwardNewEvents(a *attempt, sequence *EventSequence, events []Event) error {
--- a/relay/request.go
+++ b/relay/request.go
@@ -89,6 +89,9 @@
 	Misdirected bool
 	// IsEventStream reports whether the body is a stream of events.
 	IsEventStream bool
+	// EndsWithConnection reports whether the body has neither a length nor chunks, so that
+	// it looks complete wherever its connection is closed.
+	EndsWithConnection bool
 	// Running and Waiting are the numbers of requests that the engine had when it
 	// began to respond, or -1 if it did not report them.
 	Running, Waiting int
--- a/relay/sequence.go
+++ b/relay/sequence.go
@@ -5,6 +5,7 @@
 // Errors of EventSequence.Accept.
 var (
 	errEventsMissing   = errors.New("relay: stream does not go on after the last event")
+	errNoNewEvents     = errors.New("relay: stream ended without an event")
 	errUnnumberedEvent = errors.New("relay: event without a number in a numbered stream")
 )
 
@@ -31,3 +32,13 @@
 	s.HasNew, s.Last = true, max(s.Last, e.Number)
 	return true, nil
 }
+
+// CheckEnd returns an error if the response, which ended without an error, may not be all
+// that the receiver lacks: it had no event, and no engine has said that there are none left.
+func (s *EventSequence) CheckEnd(response *Response) error {
+	saysSo := s.Last >= 0 && response.IsEventStream && !response.EndsWithConnection
+	if !s.HasNew && !saysSo {
+		return errNoNewEvents
+	}
+	return nil
+}
