A stream without event numbers is not begun a second time

What callers saw: the first events of a resumable stream twice, joined from two runs.

Cause: after such a stream broke off, the next engine was asked for all of it, since there was no number to go on after, and all its events were passed on as new.

Change: once an event without a number was passed on, no other engine follows; the caller sees the break.

Before, go test ./platform -run OnlyTheRest/first_has_no_numbers: the caller got "data: a\n\ndata: a\n\ndata: b\n\n", <nil>; want "data: a\n\n" Now: ok.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -136,6 +136,9 @@
 	if r.responseStarted && r.Route.Kind != catalog.KindStreaming {
 		return false // only a stream of events can go on after a part of it
 	}
+	if r.unnumbered {
+		return false // no engine can be told after which event to go on
+	}
 	return r.Route.CanRepeat() && r.runs < r.Route.MaxAttempts
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -19,7 +19,7 @@
 // forward passes the engine's response on to the sink. A response that is not a
 // successful stream cannot follow a part of an earlier one.
 func (r *activeRequest) forward(a *attempt, silence *silenceWatch) error {
-	if a.response.IsEventStream && a.response.Class == Succeeded {
+	if a.response.IsEventStream && a.response.Class == Succeeded && !r.unnumbered {
 		return r.forwardEvents(a, silence)
 	}
 	silence.stop()
@@ -156,7 +156,7 @@
 			return err
 		}
 	}
-	r.lastEvent = sequence.Last
+	r.lastEvent, r.unnumbered = sequence.Last, r.unnumbered || sequence.HasUnnumbered
 	if err := r.write(data); err != nil {
 		return err
 	}
--- a/relay/sequence.go
+++ b/relay/sequence.go
@@ -15,6 +15,8 @@
 	Last int64
 	// HasNew reports whether the response had an event that the receiver did not have.
 	HasNew bool
+	// HasUnnumbered reports whether one of these had no number.
+	HasUnnumbered bool
 }
 
 // Accept reports whether the receiver lacks the event. It fails if the event cannot follow
@@ -30,6 +32,7 @@
 		return false, errEventsMissing
 	}
 	s.HasNew, s.Last = true, max(s.Last, e.Number)
+	s.HasUnnumbered = s.HasUnnumbered || e.Number < 0
 	return true, nil
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -57,6 +57,7 @@
 	runs            int   // attempts that may have run
 	responseStarted bool  // the sink has the status
 	lastEvent       int64 // number of the last event passed on, or -1
+	unnumbered      bool  // an event without a number was passed on
 
 	admittedAt               clock.Instant // when the rate admitted it
 	responseStartedAt        clock.Instant
