Only new events show that a stream goes on

What callers saw: a resumable stream that stayed at an engine which repeats the same event, or sends comments, until the deadline.

Cause: every event restarted the time within which the next one must come, also those that the caller has. They also counted towards the engine's pace.

Change: only events that the caller lacks do either.

Before, go test ./platform -run RepeatedEvents: "id: 1\ndata: token\n\n" repeated: the caller got "id: 0.. id: 1..", deadline_exceeded (3009) ": comment\n\n" repeated: the caller got "id: 0.. id: 1..", deadline_exceeded (3009) Now: ok, the stream goes on at the second engine.

--- a/relay/forward.go
+++ b/relay/forward.go
@@ -118,11 +118,14 @@
 		if err != nil {
 			return a.incomplete(err)
 		}
-		meter.Observe(len(events), clock.Now())
-		if err := r.forwardNewEvents(a, &sequence, events); err != nil {
+		newEvents, err := r.forwardNewEvents(a, &sequence, events)
+		if err != nil {
 			return err
 		}
-		silence.eventArrived(r.lastEvent)
+		if newEvents > 0 {
+			meter.Observe(newEvents, clock.Now())
+			silence.eventArrived(r.lastEvent)
+		}
 	}
 }
 
@@ -135,33 +138,20 @@
 }
 
 // forwardNewEvents passes on the comments and the events that the caller lacks, up to the
-// first one that cannot follow.
-func (r *activeRequest) forwardNewEvents(a *attempt, sequence *EventSequence, events []Event) error {
-	var data []byte
-	var invalid error
-	for i := range events {
-		isNew := events[i].IsComment
-		if !isNew {
-			isNew, invalid = sequence.Accept(&events[i])
-		}
-		if invalid != nil {
-			break
-		}
-		if isNew {
-			data = append(data, events[i].Raw...)
-		}
-	}
+// first one that cannot follow. It returns the number of these events.
+func (r *activeRequest) forwardNewEvents(a *attempt, sequence *EventSequence, events []Event) (newEvents int, err error) {
+	data, newEvents, invalid := sequence.take(events)
 	if len(data) > 0 {
 		if err := r.startResponse(a.response); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	r.lastEvent, r.unnumbered = sequence.Last, r.unnumbered || sequence.HasUnnumbered
 	if err := r.write(data); err != nil {
-		return err
+		return 0, err
 	}
 	if invalid != nil {
-		return a.incomplete(invalid)
+		return 0, a.incomplete(invalid)
 	}
-	return nil
+	return newEvents, nil
 }
--- a/relay/sequence.go
+++ b/relay/sequence.go
@@ -36,6 +36,26 @@
 	return true, nil
 }
 
+// take returns the bytes of the comments and of the events that the receiver lacks, and the
+// number of these events. It stops with an error at the first event that cannot follow.
+func (s *EventSequence) take(events []Event) (data []byte, newEvents int, err error) {
+	for i := range events {
+		if events[i].IsComment {
+			data = append(data, events[i].Raw...)
+			continue
+		}
+		isNew, err := s.Accept(&events[i])
+		if err != nil {
+			return data, newEvents, err
+		}
+		if isNew {
+			data = append(data, events[i].Raw...)
+			newEvents++
+		}
+	}
+	return data, newEvents, nil
+}
+
 // CheckEnd returns an error if the response, which ended without an error, may not be all
 // that the receiver lacks: it had no event, and no engine has said that there are none left.
 func (s *EventSequence) CheckEnd(response *Response) error {
