The output of an item that failed before its first event begins with its first event

What callers saw: an output with a line feed in front of it, which isn't the item's whole output, for an item that had failed once before its first event at a daemon that then handed the job over or ended.

Cause: the checkpoint of such an item has no events and an empty output, which restore kept as the first of the events that are joined by line feeds.

Change: the output is kept as one text, and a line feed is written only between two events. This also takes one byte instead of 17 for an event without data.

--- a/controller/jobs/itemstate.go
+++ b/controller/jobs/itemstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -32,10 +31,11 @@
 	cancelled bool               // the current run was cancelled by a preemption or a hand-over
 }
 
-// itemOutput is the output of an item so far. It is never modified after it is published.
+// itemOutput is the output of an item so far. It is never modified after it is published:
+// appendEvent writes only behind the end of text.
 type itemOutput struct {
-	events    []string // data of the events; the first entry may hold several, from a checkpoint
-	lastEvent int64    // number of the last event, or -1
+	text      []byte // data of the events, separated by line feeds
+	lastEvent int64  // number of the last event, or -1
 }
 
 // newItemState returns the state of an item that was not run yet.
@@ -47,7 +47,7 @@
 
 // restore sets the state to a checkpoint.
 func (s *itemState) restore(saved job.Checkpoint) {
-	s.output.Store(&itemOutput{events: []string{saved.Output}, lastEvent: saved.LastEvent})
+	s.output.Store(&itemOutput{text: []byte(saved.Output), lastEvent: saved.LastEvent})
 	s.savedEvent, s.failedAttempts, s.earlierRuns = saved.LastEvent, saved.FailedAttempts, saved.RunTime
 	s.savedFailures = saved.FailedAttempts
 }
@@ -65,7 +65,11 @@
 	if e.Number < 0 || e.Number <= old.lastEvent {
 		return
 	}
-	s.output.Store(&itemOutput{events: append(old.events, string(e.Data)), lastEvent: e.Number})
+	text := old.text
+	if old.lastEvent >= 0 {
+		text = append(text, '\n')
+	}
+	s.output.Store(&itemOutput{text: append(text, e.Data...), lastEvent: e.Number})
 }
 
 // failedRecently reports whether the engine rejected or interrupted the item in the last
@@ -87,7 +91,7 @@
 func (s *itemState) checkpoint() job.Checkpoint {
 	r := s.output.Load()
 	return job.Checkpoint{
-		Index: s.index, LastEvent: r.lastEvent, Output: strings.Join(r.events, "\n"), FailedAttempts: s.failedAttempts, RunTime: s.elapsed(),
+		Index: s.index, LastEvent: r.lastEvent, Output: string(r.text), FailedAttempts: s.failedAttempts, RunTime: s.elapsed(),
 	}
 }
 
@@ -95,7 +99,7 @@
 func (s *itemState) result(state job.State) job.ItemResult {
 	r := job.Result{ID: s.item().ID, State: state}
 	if state == job.Completed {
-		r.Output = strings.Join(s.output.Load().events, "\n")
+		r.Output = string(s.output.Load().text)
 	}
 	return job.ItemResult{Index: s.index, Tokens: s.item().Tokens, Result: r}
 }
