Only a whole stream of events completes a batch item

What callers saw: a result "completed" with an output that lacks events, or without any output at all.

Cause: the item's run took any events above the last one, left out those without a number, and counted every response of success that ended after a complete event as the whole output: also one that is no stream, is empty, or ends with its connection after its head.

Ruled out: a stream without length or chunks that ends in an event; it was interrupted before.

Change: the checks of online streams (relay.EventSequence) hold for items, and every event must have a number. Anything else interrupts the run; the item goes on at another engine.

Before, go test ./controller/jobs -run OnlyWhole: gap: outcome 0, output "event 1\nevent 3", <nil>; want outcome 4, output "event 1" text, no stream: outcome 0, output "", <nil>; want outcome 4, output "" empty, no stream: outcome 0, output "", <nil>; want outcome 4, output "" no events, without length: outcome 0, output "event 1", <nil>; want outcome 4 and 5 more of 16 Now: ok.

--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -40,6 +40,9 @@
 	interrupted              // the response broke off; the item can continue on another engine
 )
 
+// errUnnumberedEvent reports an event whose place in the output is not known.
+var errUnnumberedEvent = errors.New("event of an item has no number")
+
 // run starts a goroutine that runs the item at the engine. The goroutine posts the
 // outcome even if ctx is cancelled, as the count of running items depends on it.
 func (c *Controller) run(ctx context.Context, s *itemState, route *catalog.Route, engine *blackboard.Engine) {
@@ -93,28 +96,52 @@
 	return s.collect(resp, engine, idle)
 }
 
-// collect appends the events of the response to the item's output until the response
-// ends. Data from the engine restarts the idle timer.
+// collect appends the new events of the response to the item's output until the response
+// ends. New events restart the idle timer.
 func (s *itemState) collect(resp *relay.Response, engine *blackboard.Engine, idle *time.Timer) (runOutcome, error) {
 	reader := relay.NewEventReader(resp.Body)
+	sequence := relay.EventSequence{Last: s.lastEvent()}
 	intervals := relay.IntervalMeter{Health: &engine.Load.Health}
 	for {
 		events, err := reader.Next()
-		if err == io.EOF && len(reader.Rest()) == 0 {
-			return completed, nil
-		}
 		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
+			err = sequence.CheckEnd(resp)
+			if err == nil {
+				return completed, nil
+			}
 		}
 		if err != nil {
 			return interrupted, err
 		}
 		idle.Reset(itemIdleTimeout)
 		intervals.Observe(len(events), clock.Now())
-		for _, e := range events {
-			s.appendEvent(e)
+		if _, err := s.appendNew(&sequence, events); err != nil {
+			return interrupted, err
+		}
+	}
+}
+
+// appendNew appends the events that the output lacks and returns their number. It stops with
+// an error at the first event that cannot follow.
+func (s *itemState) appendNew(sequence *relay.EventSequence, events []relay.Event) (newEvents int, err error) {
+	for i := range events {
+		e := &events[i]
+		if e.IsComment {
+			continue
+		}
+		if e.Number < 0 {
+			return newEvents, errUnnumberedEvent
+		}
+		isNew, err := sequence.Accept(e)
+		if err != nil {
+			return newEvents, err
+		}
+		if isNew {
+			s.appendEvent(*e)
+			newEvents++
 		}
 	}
+	return newEvents, nil
 }
 
 // runEnded records the outcome of an item's run: the item gets a result or waits for an
--- /dev/null
+++ b/controller/jobs/run_test.go
@@ -0,0 +1,96 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/relay"
+)
+
+// oneResponse is an EngineClient that answers each request with the response. Its body
+// fails when the context of the request ends.
+type oneResponse struct{ response relay.Response }
+
+func (c oneResponse) Send(ctx context.Context, _ *relay.EngineRequest) (*relay.Response, error) {
+	response := c.response
+	response.Body = cancelledBody{Reader: response.Body, ctx: ctx}
+	return &response, nil
+}
+
+type cancelledBody struct {
+	io.Reader
+	ctx context.Context
+}
+
+func (b cancelledBody) Read(p []byte) (int, error) {
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return b.Reader.Read(p)
+}
+
+func (cancelledBody) Close() error { return nil }
+
+// event returns one event of an item's stream.
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n) }
+
+// runItem runs an item that has the events 1 to known, by one response of an engine, and
+// returns the outcome and the output after it.
+func runItem(t *testing.T, known int, response relay.Response) (runOutcome, string, error) {
+	t.Helper()
+	c, o := newTestController(0)
+	c.engines = oneResponse{response}
+	s := o.waiting[0]
+	for n := 1; n <= known; n++ {
+		s.appendEvent(relay.Event{Number: int64(n), Data: fmt.Appendf(nil, "event %d", n)})
+	}
+	engine := &blackboard.Engine{Engine: &catalog.Engine{ID: "e", Slots: 8}, Load: new(blackboard.EngineLoad)}
+	outcome, err := c.send(t.Context(), s, "h", engine)
+	return outcome, s.result(job.Completed).Result.Output, err
+}
+
+// body returns a response whose body is the text.
+func body(text string) relay.Response {
+	return relay.Response{IsEventStream: true, Body: io.NopCloser(strings.NewReader(text))}
+}
+
+// TestOnlyWholeStreamsCompleteItems guards against items that are completed with an output
+// that lacks events, or with none, because an engine answered with something else.
+func TestOnlyWholeStreamsCompleteItems(t *testing.T) {
+	open := func(r relay.Response) relay.Response { r.EndsWithConnection = true; return r }
+	noStream := func(r relay.Response) relay.Response { r.IsEventStream = false; return r }
+	for name, c := range map[string]struct {
+		known    int
+		response relay.Response
+		want     runOutcome
+		output   string
+	}{
+		"whole":                        {0, body(event(1) + event(2)), completed, "event 1\nevent 2"},
+		"whole without length":         {0, open(body(event(1) + event(2))), completed, "event 1\nevent 2"},
+		"rest":                         {1, body(event(2)), completed, "event 1\nevent 2"},
+		"from the start":               {1, body(event(1) + event(2)), completed, "event 1\nevent 2"},
+		"nothing left":                 {2, body(""), completed, "event 1\nevent 2"},
+		"comments":                     {1, body(": a\n\n" + event(2) + ": b\n\n"), completed, "event 1\nevent 2"},
+		"without length, in an event":  {0, open(body(event(1) + "id: 2\ndata: ev")), interrupted, "event 1"},
+		"gap":                          {1, body(event(3)), interrupted, "event 1"},
+		"event without a number":       {1, body("data: error\n\n" + event(2)), interrupted, "event 1"},
+		"first event without a number": {0, body("data: error\n\n"), interrupted, ""},
+		"head of an error":             {1, body("HTTP/1.1 503 Busy\r\nNot-Run: 1\n\nbusy\n\n"), interrupted, "event 1"},
+		"no events":                    {0, body(""), interrupted, ""},
+		"no events, without length":    {1, open(body("")), interrupted, "event 1"},
+		"empty, no stream":             {0, noStream(body("")), interrupted, ""},
+		"nothing left, no stream":      {1, noStream(body("")), interrupted, "event 1"},
+		"text, no stream":              {0, noStream(body("done\n\n")), interrupted, ""},
+	} {
+		outcome, output, err := runItem(t, c.known, c.response)
+		if outcome != c.want || output != c.output || (outcome == interrupted) != (err != nil) {
+			t.Errorf("%s: outcome %d, output %q, %v; want outcome %d, output %q", name, outcome, output, err, c.want, c.output)
+		}
+	}
+}
