Only new events keep a batch item at its engine

What callers saw: an item that is never listed, because its engine repeats an event, or sends comments, without end.

Cause: every event restarted the item's idle timer, also those that the output has.

Before, go test ./controller/jobs -run RepeatedEvents: comments: the item still runs after 4.5s same event: the item still runs after 4.5s Now: ok, the run is interrupted after the idle timeout.

--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -113,11 +113,14 @@
 		if err != nil {
 			return interrupted, err
 		}
-		idle.Reset(itemIdleTimeout)
-		intervals.Observe(len(events), clock.Now())
-		if _, err := s.appendNew(&sequence, events); err != nil {
+		newEvents, err := s.appendNew(&sequence, events)
+		if err != nil {
 			return interrupted, err
 		}
+		if newEvents > 0 {
+			idle.Reset(itemIdleTimeout)
+			intervals.Observe(newEvents, clock.Now())
+		}
 	}
 }
 
--- a/controller/jobs/run_test.go
+++ b/controller/jobs/run_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/catalog"
@@ -37,6 +38,19 @@
 
 func (cancelledBody) Close() error { return nil }
 
+// repeated is a body that repeats a text without end, with a pause before each.
+type repeated struct {
+	next  func(n int) string
+	pause time.Duration
+	n     int
+}
+
+func (r *repeated) Read(p []byte) (int, error) {
+	time.Sleep(r.pause)
+	r.n++
+	return copy(p, r.next(r.n)), nil
+}
+
 // event returns one event of an item's stream.
 func event(n int) string { return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n) }
 
@@ -94,3 +108,24 @@
 		}
 	}
 }
+
+// TestRepeatedEventsDoNotKeepAnItemRunning guards against an item that stays at an engine
+// that sends the same event, or comments, without end.
+func TestRepeatedEventsDoNotKeepAnItemRunning(t *testing.T) {
+	for name, text := range map[string]string{"same event": event(1), "comments": ": a\n\n"} {
+		endless := &repeated{next: func(int) string { return text }, pause: 20 * time.Millisecond}
+		ended := make(chan runOutcome, 1)
+		go func() {
+			outcome, _, _ := runItem(t, 1, relay.Response{IsEventStream: true, Body: io.NopCloser(endless)})
+			ended <- outcome
+		}()
+		select {
+		case outcome := <-ended:
+			if outcome != interrupted {
+				t.Errorf("%s: outcome %d", name, outcome)
+			}
+		case <-time.After(3 * itemIdleTimeout):
+			t.Errorf("%s: the item still runs after %v", name, 3*itemIdleTimeout)
+		}
+	}
+}
