The output of a batch item is bounded

What callers saw: nothing until the VM's memory was used up and the process ended.

Cause: a run kept every numbered event that an engine sent, without end.

Change: job.MaxOutputBytes bounds an output by its size in JSON, so that a transaction has room for the result. An output that grows beyond it is dropped, since none of its events can be trusted; the run counts as interrupted and the item starts anew at another engine. A checkpoint of the dropped output is replaced. No item becomes a dead letter by this.

--- a/controller/jobs/itemstate.go
+++ b/controller/jobs/itemstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -34,8 +35,9 @@
 // itemOutput is the output of an item so far. It is never modified after it is published:
 // appendEvent writes only behind the end of text.
 type itemOutput struct {
-	text      []byte // data of the events, separated by line feeds
-	lastEvent int64  // number of the last event, or -1
+	text        []byte // data of the events, separated by line feeds
+	encodedSize int    // see job.EncodedSize
+	lastEvent   int64  // number of the last event, or -1
 }
 
 // newItemState returns the state of an item that was not run yet.
@@ -47,7 +49,8 @@
 
 // restore sets the state to a checkpoint.
 func (s *itemState) restore(saved job.Checkpoint) {
-	s.output.Store(&itemOutput{text: []byte(saved.Output), lastEvent: saved.LastEvent})
+	text := []byte(saved.Output)
+	s.output.Store(&itemOutput{text: text, encodedSize: job.EncodedSize(text), lastEvent: saved.LastEvent})
 	s.savedEvent, s.failedAttempts, s.earlierRuns = saved.LastEvent, saved.FailedAttempts, saved.RunTime
 	s.savedFailures = saved.FailedAttempts
 }
@@ -58,18 +61,29 @@
 // lastEvent returns the number of the last event, or -1 if there is none.
 func (s *itemState) lastEvent() int64 { return s.output.Load().lastEvent }
 
+// errOutputTooLarge reports an output that does not fit into a result.
+var errOutputTooLarge = errors.New("output of an item is larger than 256 KiB")
+
 // appendEvent appends the event to the output unless its number shows that the output has
-// it. Only the goroutine of the item's run may call it.
-func (s *itemState) appendEvent(e relay.Event) {
+// it. If the output then is too large, appendEvent drops all of it, so that the item runs
+// from its start, and fails. Only the goroutine of the item's run may call it.
+func (s *itemState) appendEvent(e relay.Event) error {
 	old := s.output.Load()
 	if e.Number < 0 || e.Number <= old.lastEvent {
-		return
+		return nil
 	}
+	size := old.encodedSize + job.EncodedSize(e.Data)
 	text := old.text
 	if old.lastEvent >= 0 {
 		text = append(text, '\n')
+		size += job.EncodedSize([]byte("\n"))
+	}
+	if size > job.MaxOutputBytes {
+		s.output.Store(&itemOutput{lastEvent: -1})
+		return errOutputTooLarge
 	}
-	s.output.Store(&itemOutput{text: append(text, e.Data...), lastEvent: e.Number})
+	s.output.Store(&itemOutput{text: append(text, e.Data...), encodedSize: size, lastEvent: e.Number})
+	return nil
 }
 
 // failedRecently reports whether the engine rejected or interrupted the item in the last
--- a/controller/jobs/itemstate_test.go
+++ b/controller/jobs/itemstate_test.go
@@ -14,8 +14,24 @@
 	s := o.waiting[0]
 	s.failedAttempts++
 	s.restore(s.checkpoint())
-	s.appendEvent(relay.Event{Number: 1, Data: []byte("a")})
+	if err := s.appendEvent(relay.Event{Number: 1, Data: []byte("a")}); err != nil {
+		t.Fatal(err)
+	}
 	if got := s.result(job.Completed).Result.Output; got != "a" {
 		t.Errorf("output %q, want %q", got, "a")
 	}
 }
+
+// TestCheckpointOfADroppedOutputIsReplaced guards against a checkpoint whose events the next
+// owner would join with those of another run.
+func TestCheckpointOfADroppedOutputIsReplaced(t *testing.T) {
+	_, o := newTestController(0)
+	s := o.waiting[0]
+	s.restore(job.Checkpoint{LastEvent: 5, Output: "a"})
+	if err := s.appendEvent(relay.Event{Number: 6, Data: make([]byte, job.MaxOutputBytes)}); err == nil || s.lastEvent() != -1 {
+		t.Fatalf("an output beyond the bound was kept up to event %d, %v", s.lastEvent(), err)
+	}
+	if n := len(o.unsavedItems(minCheckpointEvents)); n != 1 {
+		t.Errorf("%d items are unsaved, want 1", n)
+	}
+}
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -139,10 +139,13 @@
 		if err != nil {
 			return newEvents, err
 		}
-		if isNew {
-			s.appendEvent(*e)
-			newEvents++
+		if !isNew {
+			continue
+		}
+		if err := s.appendEvent(*e); err != nil {
+			return newEvents, err
 		}
+		newEvents++
 	}
 	return newEvents, nil
 }
--- a/controller/jobs/run_test.go
+++ b/controller/jobs/run_test.go
@@ -62,7 +62,9 @@
 	c.engines = oneResponse{response}
 	s := o.waiting[0]
 	for n := 1; n <= known; n++ {
-		s.appendEvent(relay.Event{Number: int64(n), Data: fmt.Appendf(nil, "event %d", n)})
+		if err := s.appendEvent(relay.Event{Number: int64(n), Data: fmt.Appendf(nil, "event %d", n)}); err != nil {
+			t.Fatal(err)
+		}
 	}
 	engine := &blackboard.Engine{Engine: &catalog.Engine{ID: "e", Slots: 8}, Load: new(blackboard.EngineLoad)}
 	outcome, err := c.send(t.Context(), s, "h", engine)
@@ -109,6 +111,20 @@
 	}
 }
 
+// TestEndlessEventsDoNotFillTheMemory guards against an output that grows until the memory
+// of the VM is used up. The item must then run from its start, since none of the events can
+// be trusted.
+func TestEndlessEventsDoNotFillTheMemory(t *testing.T) {
+	for name, data := range map[string]string{"long events": strings.Repeat("a", 1000), "empty events": ""} {
+		endless := &repeated{next: func(n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, data) }}
+		bounded := io.LimitReader(endless, 64<<20)
+		outcome, output, err := runItem(t, 0, relay.Response{IsEventStream: true, Body: io.NopCloser(bounded)})
+		if outcome != interrupted || output != "" || err == nil || endless.n > 2*job.MaxOutputBytes {
+			t.Errorf("%s: outcome %d, output of %d bytes after %d events, %v", name, outcome, len(output), endless.n, err)
+		}
+	}
+}
+
 // TestRepeatedEventsDoNotKeepAnItemRunning guards against an item that stays at an engine
 // that sends the same event, or comments, without end.
 func TestRepeatedEventsDoNotKeepAnItemRunning(t *testing.T) {
--- a/controller/jobs/save.go
+++ b/controller/jobs/save.go
@@ -26,11 +26,12 @@
 )
 
 // unsavedItems returns the items of the job that got at least the given number of events,
-// or failed, since their last checkpoint.
+// failed or lost their output, since their last checkpoint.
 func (o *ownedJob) unsavedItems(events int64) []*itemState {
 	var found []*itemState
 	add := func(s *itemState) {
-		if s.lastEvent()-s.savedEvent >= events || s.failedAttempts > s.savedFailures {
+		last := s.lastEvent()
+		if last-s.savedEvent >= events || last < s.savedEvent || s.failedAttempts > s.savedFailures {
 			found = append(found, s)
 		}
 	}
--- a/job/results.go
+++ b/job/results.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"unicode/utf8"
 
 	"github.com/baobablanding/baobablanding/store"
 )
@@ -15,6 +16,31 @@
 	Result Result
 }
 
+// MaxOutputBytes bounds the EncodedSize of an item's output. A transaction, which holds at
+// most 1 MB in base64, has room for two of these.
+const MaxOutputBytes = 256 << 10
+
+// escapeBytes is the size of an escaped character in JSON.
+const escapeBytes = len(`\u0000`)
+
+// EncodedSize returns the size of the text in JSON, or a little more.
+func EncodedSize(text []byte) int {
+	size := 0
+	for len(text) > 0 {
+		r, n := utf8.DecodeRune(text)
+		text = text[n:]
+		switch {
+		case r < ' ', r == '<', r == '>', r == '&', r == '\u2028', r == '\u2029', r == utf8.RuneError:
+			size += escapeBytes
+		case r == '"', r == '\\':
+			size += 2
+		default:
+			size += n
+		}
+	}
+	return size
+}
+
 // AppendResults stores results at the next positions if the daemon owns the job and the
 // job is open. It leaves out results of items that already have one. It returns the
 // current head, whose Done shows which items have results.
