Results of one transaction are bounded by their size

What callers saw: a batch job that never completes once its next six results are together larger than a transaction of the store may be (1 MB in base64): the store rejects the transaction, and the same one is tried again without end.

Change: a transaction takes results up to 512 KiB of JSON, at least one.

--- a/controller/jobs/commit.go
+++ b/controller/jobs/commit.go
@@ -14,10 +14,7 @@
 	if o.committing || len(o.finished) == 0 {
 		return
 	}
-	results := o.finished
-	if len(results) > maxCommitResults {
-		results = results[:maxCommitResults]
-	}
+	results := nextResults(o.finished)
 	o.finished = o.finished[len(results):]
 	o.committing = true
 	head := o.head
@@ -31,9 +28,23 @@
 	}()
 }
 
+// nextResults returns the first results that go into one transaction, at least one.
+func nextResults(finished []job.ItemResult) []job.ItemResult {
+	size := 0
+	for i := range finished {
+		size += job.EncodedSize([]byte(finished[i].Result.Output))
+		if i == maxCommitResults || i > 0 && size > maxCommitBytes {
+			return finished[:i]
+		}
+	}
+	return finished
+}
+
 const (
-	// maxCommitResults bounds the results in one transaction, which holds at most 1 MB.
+	// maxCommitResults and maxCommitBytes bound the results in one transaction, which holds
+	// at most 1 MB in base64.
 	maxCommitResults = 6
+	maxCommitBytes   = 2 * job.MaxOutputBytes
 	// commitRetryDelay is the time after a failed transaction.
 	commitRetryDelay = 150 * time.Millisecond
 )
