A failed flush of a response is told to its handler again

The writer of watched responses had Flush without an error, so that a handler learned of a closed connection one write later than before. FlushError passes it on.

--- a/httpserve/response.go
+++ b/httpserve/response.go
@@ -43,11 +43,15 @@
 }
 
 // Flush implements http.Flusher, which go-zero requires of a writer.
-func (w *response) Flush() {
+func (w *response) Flush() { _ = w.FlushError() }
+
+// FlushError flushes as http.ResponseController does, so that its callers learn of a
+// connection that is closed.
+func (w *response) FlushError() error {
 	w.begin()
-	if err := http.NewResponseController(w.ResponseWriter).Flush(); err != nil {
-		w.failed = true
-	}
+	err := http.NewResponseController(w.ResponseWriter).Flush()
+	w.failed = w.failed || err != nil
+	return err
 }
 
 // Unwrap returns the writer of net/http for http.ResponseController.
