Timeouts of callers' connections follow the configuration

What callers saw: a header that took over 5 s, or a request on a connection idle for over 2 min, met a closed connection without an answer though the configuration allowed more (headerTimeoutMs, idleTimeoutMs).

Cause: both were fixed; the configuration's values were not read.

Ruled out: changing the fields of http.Server while it serves, a data race; a new server for each configuration, which closes connections.

Change: the decoder reads both limits. The front's connections wait on when net/http's own deadline is over but the limit of the configuration in force is not, also if it grew while the read waited. The daemon's own 5 s and 2 min remain the least. A header that comes late is counted and logged as header_timeout.

Result: TestHeaderMayTakeAsLongAsTheConfigurationSays (the limit grows while a header arrives for 6 s) before:

longbody_test.go:98: no answer after a header of 6 s, with 9 s allowed: unexpected EOF

It passes now, as TestTimeoutsFollowTheConfiguration does, which also plays idle and new connections. Not changed: the longest header stays 64 KiB whatever maxHeaderBytes says.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -39,11 +39,17 @@
 	keys       map[string]*Workspace // by key
 }
 
-// Limits holds the limits on what a caller may send.
+// Limits holds the limits on what a caller may send, and how long it may take.
 type Limits struct {
 	// MaxBodyBytes is the size of the largest body, or 0 if the configuration sets
 	// no limit.
 	MaxBodyBytes int64
+	// HeaderTimeout is how long the header of a request may take, or 0 if the
+	// configuration does not say.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may stay idle between two requests, or 0 if
+	// the configuration does not say.
+	IdleTimeout time.Duration
 }
 
 // Route sends the requests of a host and path prefix to a service.
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -152,9 +152,10 @@
 	}
 	if e.front, err = httpserve.Listen(settings.CallerAddress, nil, httpserve.Options{
 		ReadHeaderTimeout: entryHeaderTimeout, NotFound: handler, MethodNotAllowed: handler,
-		OnPanic: http.HandlerFunc(platform.PanicResponse),
-		MaxBody: func() int64 { return platform.MaxBodyBytes(e.board.Catalog.Value()) },
-		Ends:    httpserve.NewEndLog(reg, e.log, platform.RequestID),
+		OnPanic:  http.HandlerFunc(platform.PanicResponse),
+		Timeouts: e.timeouts,
+		MaxBody:  func() int64 { return platform.MaxBodyBytes(e.board.Catalog.Value()) },
+		Ends:     httpserve.NewEndLog(reg, e.log, platform.RequestID),
 	}); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -167,9 +168,18 @@
 }
 
 // entryHeaderTimeout bounds the time in which the header of a caller's request must
-// arrive.
+// arrive, unless the configuration allows more.
 const entryHeaderTimeout = 5 * time.Second
 
+// timeouts returns those of the configuration in force.
+func (e *Entry) timeouts() httpserve.Timeouts {
+	c := e.board.Catalog.Value()
+	if c == nil {
+		return httpserve.Timeouts{}
+	}
+	return httpserve.Timeouts{Header: c.Limits.HeaderTimeout, Idle: c.Limits.IdleTimeout}
+}
+
 // isReady reports whether the daemon can serve new callers: it is in the serving phase,
 // knows an engine, and has a configuration whose last read is recent enough.
 func (e *Entry) isReady() bool {
--- a/entrytest/longbody_test.go
+++ b/entrytest/longbody_test.go
@@ -74,3 +74,31 @@
 		})
 	}
 }
+
+// TestHeaderMayTakeAsLongAsTheConfigurationSays guards against connections that are closed
+// without an answer because a header takes longer than a limit of the daemon's own, though
+// the configuration allows it.
+func TestHeaderMayTakeAsLongAsTheConfigurationSays(t *testing.T) {
+	f := newFleet(t)
+	f.startEngine("i-1", stream)
+	d := f.start("entry-1")
+	conn, err := net.Dial("tcp", d.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /once/a HTTP/1.1\r\nHost: %s\r\nRequest-Id: request-%d\r\n", host, ids.Add(1))
+	f.config["limits"].(object)["headerTimeoutMs"] = 9000 // after the header began
+	f.publish()
+	time.Sleep(6 * time.Second)
+	fmt.Fprintf(conn, "Authorization: Token %s\r\nContent-Length: 0\r\n\r\n", key)
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer after a header of 6 s, with 9 s allowed: %v", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d, want 200", resp.StatusCode)
+	}
+}
--- a/httpserve/ends.go
+++ b/httpserve/ends.go
@@ -26,10 +26,13 @@
 	endStopTimeout endCause = "stop_timeout"
 	// endClosed means that the server was closed without a graceful shutdown.
 	endClosed endCause = "closed"
+	// endHeaderTimeout means that the header did not arrive in time; net/http closes the
+	// connection without an answer.
+	endHeaderTimeout endCause = "header_timeout"
 )
 
 // endCauses lists all causes.
-var endCauses = []endCause{endGivenUp, endCallerGone, endPanic, endPanicAnswered, endStopTimeout, endClosed}
+var endCauses = []endCause{endGivenUp, endCallerGone, endPanic, endPanicAnswered, endStopTimeout, endClosed, endHeaderTimeout}
 
 // EndLog counts and logs the requests that end without a complete response of their handler.
 // It may be used by several servers.
@@ -59,11 +62,21 @@
 	if l == nil {
 		return
 	}
-	l.ended.WithLabelValues(string(cause)).Inc()
 	line := l.log.Warn().Str("request", l.requestID(r)).Str("cause", string(cause)).Str("method", r.Method).
 		Bool("response_begun", resp.begun).Int64("bytes_written", resp.written).Dur("took", time.Since(resp.received))
 	if cause == endPanic || cause == endPanicAnswered {
 		line = line.Interface("panic", panicked).Bytes("stack", debug.Stack())
 	}
 	line.Msg("request ended without a complete response")
+	l.ended.WithLabelValues(string(cause)).Inc()
+}
+
+// recordHeaderTimeout counts and logs a request whose header did not arrive in time. A nil
+// EndLog does nothing.
+func (l *EndLog) recordHeaderTimeout() {
+	if l == nil {
+		return
+	}
+	l.ended.WithLabelValues(string(endHeaderTimeout)).Inc()
+	l.log.Warn().Str("cause", string(endHeaderTimeout)).Msg("header of a request did not arrive in time")
 }
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -3,6 +3,7 @@
 package httpserve
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,8 +23,8 @@
 const goZeroShutdownDelay = 24 * time.Hour
 
 const (
-	maxHeaderBytes = 64 << 10
-	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes     = 64 << 10
+	defaultIdleTimeout = 2 * time.Minute
 )
 
 // init disables go-zero's log and delays its signal handling in every process that
@@ -37,6 +38,12 @@
 type Options struct {
 	// ReadHeaderTimeout limits the time to read a request's header. 0 means no limit.
 	ReadHeaderTimeout time.Duration
+	// IdleTimeout limits the time between a response and the next request of a connection.
+	// 0 means two minutes.
+	IdleTimeout time.Duration
+	// Timeouts returns the current timeouts, which hold where they are longer than
+	// ReadHeaderTimeout and IdleTimeout, also on open connections. It may be nil.
+	Timeouts func() Timeouts
 	// NotFound serves requests whose path matches no route. If it is nil, go-zero
 	// answers them.
 	NotFound http.Handler
@@ -61,6 +68,7 @@
 	listener net.Listener
 	ends     *EndLog
 	maxBody  func() int64
+	timeouts func() Timeouts
 	draining atomic.Bool
 	done     chan struct{} // closed when serve returns
 	err      error         // returned by http.Server.Serve; written before done is closed, read after
@@ -85,7 +93,7 @@
 	s := &Server{
 		http: http.Server{
 			ReadHeaderTimeout: opts.ReadHeaderTimeout,
-			IdleTimeout:       idleTimeout,
+			IdleTimeout:       cmp.Or(opts.IdleTimeout, defaultIdleTimeout),
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 		listener: listener,
@@ -97,6 +105,9 @@
 	if s.ends != nil {
 		s.http.ErrorLog = s.ends.log.Std("", 0)
 	}
+	if opts.Timeouts != nil {
+		s.listenTo(listener, opts.Timeouts)
+	}
 	if opts.OnPanic == nil {
 		opts.OnPanic = http.HandlerFunc(internalError)
 	}
@@ -105,6 +116,13 @@
 	return s, nil
 }
 
+// listenTo makes the server wait on the listener's connections as long as the timeouts say.
+func (s *Server) listenTo(listener net.Listener, timeouts func() Timeouts) {
+	s.timeouts = timeouts
+	s.listener = &callerListener{TCPListener: listener.(*net.TCPListener), server: s}
+	s.http.ConnState = followConnState
+}
+
 // serve accepts connections until the server is shut down or closed.
 func (s *Server) serve() {
 	defer close(s.done)
