Load reports with impossible numbers are rejected

What callers saw: nothing yet. A datagram with a negative or huge number was applied: it made engines look empty or full, a daemon's last read of the configuration lie in the future, and the number of reporting daemons negative, from which rates are estimated.

Cause: any JSON of the right form was taken for a report.

Ruled out, by the same test: that an odd datagram ends the daemon or stops the receiver. An empty one, 60,000 nested arrays, numbers beyond int64, NaN and text fail to decode.

Change: DecodeLoadReport fails for a number below 0 or above 2^40.

--- /dev/null
+++ b/peer/loadcheck.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+)
+
+// maxReported bounds every number in a load report, so that sums of many do not overflow.
+const maxReported = 1 << 40
+
+// errImpossibleNumber reports a load report with a number that no daemon counts.
+var errImpossibleNumber = errors.New("number is negative or too large")
+
+// check returns an error unless every number in the report is one that a daemon can count.
+func (r *LoadReport) check() error {
+	numbers := []int64{r.Sequence, int64(r.WaitingItems), r.ReadAgeMs}
+	if d := r.DataCentre; d != nil {
+		numbers = append(numbers, int64(d.Daemons), int64(d.WaitingDaemons))
+	}
+	for _, counts := range r.Engines {
+		numbers = append(numbers, counts[:]...)
+	}
+	for _, n := range r.Admitted {
+		numbers = append(numbers, n)
+	}
+	for _, n := range numbers {
+		if n < 0 || n > maxReported {
+			return fmt.Errorf("load report of %.60q: %w: %d", r.From, errImpossibleNumber, n)
+		}
+	}
+	return nil
+}
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -85,7 +85,8 @@
 }
 
 // DecodeLoadReport returns the report that the datagram carries. It returns an error if
-// the datagram is no JSON or its method does not match its content.
+// the datagram is no JSON, its method does not match its content, or a number in it is
+// impossible.
 func DecodeLoadReport(data []byte) (LoadReport, error) {
 	var n loadNotification
 	if err := json.Unmarshal(data, &n); err != nil {
@@ -94,5 +95,5 @@
 	if n.Method != n.Params.method() {
 		return LoadReport{}, fmt.Errorf("decode load report: method %q does not match the content", n.Method)
 	}
-	return n.Params, nil
+	return n.Params, n.Params.check()
 }
