Bodies of callers take a bounded part of an entry daemon's memory

What callers saw: a daemon above its VM's memory limit is killed, and all its requests end without an answer. 150 callers with bodies of 2 MiB each reached that with room to spare; the longest body is 4 MiB by default.

Cause: each body was read whole, into buffers that grow, with no bound on all together. The soft limit of the Go runtime can't free what is in use.

Ruled out: answers of engines, which are bounded and tested since before; making callers wait for room, since their bodies would count as received and not yet read.

Change: the bodies of the requests that run may take a quarter of the memory limit. A body that is declared too long is refused without being read into memory; the rest of any body, up to the longest allowed, is still dropped before the refusal.

Decoded batch jobs aren't counted in the bound.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -43,6 +43,9 @@
 	// memoryLimitFraction is the fraction of the VM's memory limit that is set as the
 	// soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.7
+	// bodyMemoryFraction is the fraction of the VM's memory limit that bodies of callers may
+	// take. The daemon itself and the engines' answers need the rest.
+	bodyMemoryFraction = 0.25
 	// entryLeavingDuration is how long an entry daemon that shuts down still accepts
 	// connections, so that the load balancer can notice that it is not ready.
 	entryLeavingDuration = 2800 * time.Millisecond
@@ -139,8 +142,9 @@
 		e.controllers.run(run)
 	}
 	keyValidity := time.Duration(float64(settings.WithdrawnKeyGrace) * keyValidityFraction)
+	maxBodies := int64(float64(settings.MemoryBytes) * bodyMemoryFraction)
 	onlineServer := relay.NewServer(e.board, engines, settings.DataCentre, keyValidity, relay.NewMetrics(reg), e.log)
-	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self)), reg)
+	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self), maxBodies), reg)
 }
 
 // listen opens the listeners for metrics, callers and readiness probes, then sets the
--- a/httpserve/response.go
+++ b/httpserve/response.go
@@ -89,10 +89,9 @@
 	if s.maxBody == nil || r.Body == http.NoBody {
 		return resp
 	}
-	if resp.maxRest = s.maxBody(); r.ContentLength <= resp.maxRest {
-		resp.body = &requestBody{ReadCloser: r.Body}
-		r.Body = resp.body
-	}
+	resp.maxRest = s.maxBody()
+	resp.body = &requestBody{ReadCloser: r.Body}
+	r.Body = resp.body
 	return resp
 }
 
