An engine that says that it leaves gets nothing more

What callers saw: requests that ended with their engine, since they were sent to one that had said before, in an answer, that it shuts down.

Cause: the header Server-Leaving was not read.

Change: any answer of an engine that has it (head of a stream, rejection, error, redirect, answer to an item) sets a flag on the EngineLoad, which IsUsable reads: no request, retry, resumption, successor of a silent stream or item goes there until another start of the engine has its place. What runs there goes on. A 421 says nothing about the engine that was meant. The other daemons learn of it by a fifth number in the load reports; to them such an engine is the last choice, so that one faulty daemon cannot take the fleet's engines away. Not affected: health checks, which this system does not send.

--- a/blackboard/engines.go
+++ b/blackboard/engines.go
@@ -52,7 +52,7 @@
 }
 
 // IsUsable reports whether the engine may get new work.
-func (e *Engine) IsUsable() bool { return !e.TakenOut && !e.Draining }
+func (e *Engine) IsUsable() bool { return !e.TakenOut && !e.Draining && !e.Load.Leaving.Load() }
 
 // IsCold reports whether the engine is in cold start.
 func (e *Engine) IsCold(now clock.Instant) bool { return now < e.ColdUntil }
@@ -74,8 +74,8 @@
 	return int(e.Load.Online.Load() + e.Load.PeerOnline.Load())
 }
 
-// EngineLoad counts the work of one engine. Its fields are atomics because they
-// are written on the request path.
+// EngineLoad is what was observed of one start of an engine. Its fields are atomics because
+// they are written on the request path.
 type EngineLoad struct {
 	// Online and Batch are the numbers of requests that this daemon has at the
 	// engine.
@@ -88,6 +88,12 @@
 	OwnReport, PeerReport EngineReport
 	// Health is derived from the engine's responses.
 	Health EngineHealth
+	// Leaving reports whether the engine told this daemon that it shuts down. That never
+	// ends: another start of the engine has another EngineLoad.
+	Leaving atomic.Bool
+	// LeavingByPeers reports whether another daemon was told so. The engine is then the
+	// last choice only, since that daemon may be wrong. controller/loads writes it.
+	LeavingByPeers atomic.Bool
 	// LastColdTurn is the number of the last turn, see placement.ColdTurns, that this
 	// daemon used for a request while the engine was cold.
 	LastColdTurn atomic.Int64
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -83,6 +83,9 @@
 		return interrupted, err
 	}
 	defer resp.Body.Close()
+	if resp.RecordLeaving(engine) {
+		c.logItem(s, engine, nil).Int("status", resp.Status).Msg("engine shuts down and gets no more items")
+	}
 	switch {
 	case resp.NotRun || resp.Misdirected:
 		return notRun, nil
--- a/controller/loads/datacentre.go
+++ b/controller/loads/datacentre.go
@@ -110,7 +110,7 @@
 // addCounts adds up two daemons' counts of one engine. Of the numbers of requests that the
 // engine reported, the larger one holds.
 func addCounts(a, b peer.EngineCounts) peer.EngineCounts {
-	return peer.EngineCounts{a[0] + b[0], a[1] + b[1], max(a[2], b[2]), a[3] + b[3]}
+	return peer.EngineCounts{a[0] + b[0], a[1] + b[1], max(a[2], b[2]), a[3] + b[3], a[4] + b[4]}
 }
 
 // forward sends a sum from another data centre to the other daemons of this one.
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -35,7 +35,7 @@
 
 // Controller writes what the other daemons report to the blackboard: their part of the
 // engines' loads and of the limiters' admissions, SuspectedByPeers of the engines'
-// health, PeersWithBatchDemand, ReportingDaemons and PeerReadAt. It also writes
+// health, LeavingByPeers, PeersWithBatchDemand, ReportingDaemons and PeerReadAt. It also writes
 // PreferredEngines, the engines that this daemon chooses first, and marks slow engines.
 type Controller struct {
 	board *blackboard.EntryBoard
@@ -254,6 +254,9 @@
 		if e.Load.Health.IsSuspected(now) {
 			counts[3] = 1
 		}
+		if e.Load.Leaving.Load() {
+			counts[4] = 1
+		}
 		if counts != (peer.EngineCounts{}) {
 			r.Engines[e.ID] = counts
 		}
--- a/controller/loads/loads_test.go
+++ b/controller/loads/loads_test.go
@@ -138,3 +138,26 @@
 		t.Errorf("report lacks this daemon's own suspicion: %v", sent.Engines)
 	}
 }
+
+// TestLeavingEngineIsReportedAsAHint guards against other daemons that go on choosing an
+// engine first that leaves, and against a report that is passed on as an own observation.
+func TestLeavingEngineIsReportedAsAHint(t *testing.T) {
+	c, e := newTestController()
+	c.apply(loadReport(1, peer.EngineCounts{4: 1}))
+	c.applyTotals(c.board.Roster.Value())
+	if !e.Load.LeavingByPeers.Load() || !e.IsUsable() {
+		t.Errorf("leaves according to peers: %v, usable: %v; want both", e.Load.LeavingByPeers.Load(), e.IsUsable())
+	}
+	if sent := c.newReport(c.board.Roster.Value(), 1); len(sent.Engines) != 0 {
+		t.Errorf("the report repeats that of another daemon: %v", sent.Engines)
+	}
+	e.Load.Leaving.Store(true)
+	if sent := c.newReport(c.board.Roster.Value(), 2); sent.Engines["i-1"] != (peer.EngineCounts{4: 1}) {
+		t.Errorf("reported %v", sent.Engines)
+	}
+	c.apply(peer.LoadReport{From: "other", Sequence: 2})
+	c.applyTotals(c.board.Roster.Value())
+	if e.Load.LeavingByPeers.Load() {
+		t.Error("the engine still leaves according to peers after none of them says so")
+	}
+}
--- a/controller/loads/sum.go
+++ b/controller/loads/sum.go
@@ -10,6 +10,7 @@
 type totals struct {
 	online, batch  map[string]int64    // numbers of requests, by engine
 	suspectedFrom  map[string][]string // by engine: data centres of the daemons that suspect it
+	leaving        map[string]bool     // engines that leave according to a daemon
 	waitingDaemons int                 // number of daemons on which batch items wait
 	waitingNearby  int                 // number of these in the own data centre
 	daemons        int                 // number of daemons whose load is in the sums
@@ -28,6 +29,7 @@
 	for _, e := range engines {
 		e.Load.PeerOnline.Store(t.online[e.ID])
 		e.Load.PeerBatch.Store(t.batch[e.ID])
+		e.Load.LeavingByPeers.Store(t.leaving[e.ID])
 		c.setEjected(e, placement.ShouldEject(roster.Self.DataCentre, t.suspectedFrom[e.ID]))
 	}
 	for _, e := range placement.SlowEngines(engines, now) {
@@ -57,7 +59,7 @@
 // totals adds up the reports. A daemon whose data centre sent a sum counts with that only.
 // The caller holds c.mu.
 func (c *Controller) totals(roster *blackboard.Roster) totals {
-	t := totals{online: make(map[string]int64), batch: make(map[string]int64), suspectedFrom: make(map[string][]string)}
+	t := totals{online: make(map[string]int64), batch: make(map[string]int64), suspectedFrom: make(map[string][]string), leaving: make(map[string]bool)}
 	for _, r := range c.reports {
 		dataCentre := roster.DataCentreOf(r.From)
 		if r.DataCentre == nil && c.reports[sumKey(dataCentre)] != nil && dataCentre != roster.Self.DataCentre {
@@ -91,6 +93,9 @@
 	for id, counts := range r.Engines {
 		t.online[id] += counts[0]
 		t.batch[id] += counts[1]
+		if counts[4] > 0 {
+			t.leaving[id] = true
+		}
 		for range min(counts[3], maxSuspicions) {
 			t.suspectedFrom[id] = append(t.suspectedFrom[id], dataCentre)
 		}
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -15,9 +15,11 @@
 
 // EngineCounts describes one engine as seen by one daemon. It holds, in this order, the
 // number of online requests that the daemon has at the engine, the number of batch items
-// that it has there, the number of requests that the engine reported to it recently, and
-// 1 if the daemon avoids the engine because of its own observations, else 0.
-type EngineCounts [4]int64
+// that it has there, the number of requests that the engine reported to it recently, 1 if
+// the daemon avoids the engine because of its own observations, else 0, and 1 if the engine
+// told the daemon that it leaves, else 0. Builds that know only the first four ignore the
+// fifth; its absence stands for 0.
+type EngineCounts [5]int64
 
 // LoadReport tells other entry daemons how many requests the sender has at each engine, or
 // how many the daemons of its data centre have there together.
@@ -38,8 +40,8 @@
 	// started, by workspace. It holds only workspaces whose number changed recently.
 	Admitted map[string]int64 `json:"admitted,omitempty"`
 	// DataCentre is set if the report is a sum. WaitingItems is then 0, ReadAgeMs the
-	// lowest age, the third of an engine's counts the largest and the fourth the number
-	// of daemons; Admitted counts what the sender knows to have been admitted.
+	// lowest age, the third of an engine's counts the largest and the fourth and fifth
+	// the numbers of daemons; Admitted counts what the sender knows to have been admitted.
 	DataCentre *DataCentreSum `json:"data_centre,omitempty"`
 }
 
--- a/peer/loadreport_test.go
+++ b/peer/loadreport_test.go
@@ -44,3 +44,13 @@
 		t.Errorf("decoded %+v, %v", got, err)
 	}
 }
+
+// TestEngineCountsOfOtherBuildsAreUnderstood guards against builds that do not understand
+// each other's reports while a fleet is updated.
+func TestEngineCountsOfOtherBuildsAreUnderstood(t *testing.T) {
+	r, err := DecodeLoadReport([]byte(`{"jsonrpc":"2.0","method":"loads","params":{"from":"a","engines":{"i-1":[1,2,3,1],"i-2":[1,2,3,1,1,7]}}}`))
+	want := map[string]EngineCounts{"i-1": {1, 2, 3, 1, 0}, "i-2": {1, 2, 3, 1, 1}}
+	if err != nil || !reflect.DeepEqual(r.Engines, want) {
+		t.Errorf("decoded %v, %v", r.Engines, err)
+	}
+}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -60,10 +60,10 @@
 
 // Choose returns the engine with the lowest score that may take the request, or nil.
 // It considers the preferred engines and a sample of the others, and all engines if
-// the sample yields none or only one that is ejected. Ejected engines come last.
+// the sample yields none or only one that is a last choice.
 func Choose(engines []*blackboard.Engine, q *Query) *blackboard.Engine {
 	sample := q.newSample(engines)
-	if e := chooseSampled(engines, q, sample); e != nil && !e.Load.Health.IsEjected(q.Now) {
+	if e := chooseSampled(engines, q, sample); e != nil && !q.isLastChoice(e) {
 		return e
 	}
 	return chooseSampled(engines, q, wholeSet)
@@ -153,12 +153,18 @@
 	return e.IsUsable() && (q.Tried == nil || !q.Tried(e)) && e.OnlineRequestCount() < e.Slots+q.MaxQueue
 }
 
-// ejectedScore is added to the score of an ejected engine. It exceeds every load.
+// isLastChoice reports whether the engine is ejected, or leaves according to other daemons.
+func (q *Query) isLastChoice(e *blackboard.Engine) bool {
+	return e.Load.Health.IsEjected(q.Now) || e.Load.LeavingByPeers.Load()
+}
+
+// ejectedScore is added to the score of an engine that is a last choice. It exceeds every
+// load.
 const ejectedScore = 1e6
 
 // score returns the load of the engine as a fraction of its slots, plus penalties.
 // The lowest score is best. Engines that are missing from the store score worse than
-// all others but ejected ones.
+// all others but the last choices.
 func (q *Query) score(e *blackboard.Engine) float64 {
 	score := float64(e.RequestCount()) / float64(e.Slots)
 	if !q.PreferredEngines[e.ID] {
@@ -167,7 +173,7 @@
 	if e.MissingSince != 0 {
 		score += ejectedScore / 2
 	}
-	if e.Load.Health.IsEjected(q.Now) {
+	if q.isLastChoice(e) {
 		score += ejectedScore
 	}
 	return score + q.Random()/(4*float64(e.Slots))
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -35,6 +35,7 @@
 func TestEnginesThatMayNotBeChosen(t *testing.T) {
 	now := clock.Now()
 	for name, change := range map[string]func(*blackboard.Engine){
+		"leaving":   func(e *blackboard.Engine) { e.Load.Leaving.Store(true) },
 		"draining":  func(e *blackboard.Engine) { e.Draining = true },
 		"taken out": func(e *blackboard.Engine) { e.TakenOut = true },
 		"full":      func(e *blackboard.Engine) { e.Load.Online.Store(9) },
@@ -130,3 +131,18 @@
 		t.Errorf("%d requests after the report became old, want 1", e.RequestCount())
 	}
 }
+
+// TestEngineThatLeavesByPeersIsTheLastChoice guards against one faulty daemon that takes the
+// fleet's engines away.
+func TestEngineThatLeavesByPeersIsTheLastChoice(t *testing.T) {
+	leaving, sound := newEngine("a", 0, 0), newEngine("b", 6, 0)
+	leaving.Load.LeavingByPeers.Store(true)
+	both, alone := []*blackboard.Engine{leaving, sound}, []*blackboard.Engine{leaving}
+	if Choose(both, query()) != sound || Choose(alone, query()) != leaving {
+		t.Error("an engine that leaves by peers is not the last choice of a request")
+	}
+	q := &BatchQuery{Query: *query()}
+	if ChooseForBatch(both, q) != sound || ChooseForBatch(alone, q) != leaving {
+		t.Error("an engine that leaves by peers is not the last choice of an item")
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -271,6 +271,9 @@
 		return r.noResponse(err)
 	}
 	a.response = response
+	if response.RecordLeaving(a.engine) {
+		r.logAttempt(a.engine, "leaving").Int("status", response.Status).Msg("engine shuts down and gets no more requests")
+	}
 	if response.NotRun || response.Misdirected {
 		return r.rejected(a.engine, response)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -95,6 +95,8 @@
 	// Running and Waiting are the numbers of requests that the engine had when it
 	// began to respond, or -1 if it did not report them.
 	Running, Waiting int
+	// Leaving reports whether the engine shuts down and takes no new work.
+	Leaving bool
 	// Body is the content. It returns an error other than io.EOF if it ends early.
 	// Whoever sent the request must close it.
 	Body io.ReadCloser
@@ -103,6 +105,12 @@
 // failed reports whether the engine failed to do what was asked for.
 func (r *Response) failed() bool { return r.Class == Failed || r.Class == Unavailable }
 
+// RecordLeaving records whether the engine said that it shuts down. It reports whether that
+// is news. A response of another engine at the address says nothing about this one.
+func (r *Response) RecordLeaving(engine *blackboard.Engine) bool {
+	return r.Leaving && !r.Misdirected && !engine.Load.Leaving.Swap(true)
+}
+
 // recordLoad records the load that the engine reported with its response.
 func (r *Response) recordLoad(engine *blackboard.Engine) {
 	if r.Running >= 0 {
