One start of an engine keeps what is known of it while its row is gone

What callers saw: requests sent to an engine that had said that it leaves, after its row had expired, or had been odd for a moment, and was back.

Cause: each registration made a new EngineLoad, also of the start that was known. The counts of requests that still run there were lost too.

Change: removed engines are remembered for 10 minutes, and the same start keeps its EngineLoad.

Before, go test ./entrytest -run LeavingEngine: stream: after its row came back: the engine received 1 requests after it said that it leaves (9 of 9 kinds of answer) Now: ok.

--- a/controller/directory/engines.go
+++ b/controller/directory/engines.go
@@ -5,8 +5,10 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/follow"
 	"github.com/baobablanding/baobablanding/store"
@@ -16,7 +18,7 @@
 // ctx is done.
 func (c *Controller) RunEngines(ctx context.Context) {
 	_, table := c.decoder.Tables()
-	e := &engineSet{controller: c, byID: make(map[string]*blackboard.Engine)}
+	e := newSet(c)
 	last := clock.Now()
 	follow.PollTable(ctx, c.store, table, pollInterval, follow.NewAvailabilityLog(c.log, "engines"), func(update store.TableUpdate, sent clock.Instant) {
 		e.afterOutage = sent.Sub(last) > outageThreshold || sent < e.outageEnd.Add(reregisterGrace)
@@ -33,8 +35,23 @@
 type engineSet struct {
 	controller  *Controller
 	byID        map[string]*blackboard.Engine
-	afterOutage bool          // rows may have expired while the store was unavailable
-	outageEnd   clock.Instant // when the first read after the last outage arrived, or 0
+	removed     map[string]removedEngine // by id
+	afterOutage bool                     // rows may have expired while the store was unavailable
+	outageEnd   clock.Instant            // when the first read after the last outage arrived, or 0
+}
+
+// removedEngine is an engine that has no row any more. The same start of it may register
+// again, and keeps its EngineLoad then.
+type removedEngine struct {
+	*blackboard.Engine
+	at clock.Instant
+}
+
+// removedRetention is how long a removed engine is remembered.
+const removedRetention = 10 * time.Minute
+
+func newSet(c *Controller) *engineSet {
+	return &engineSet{controller: c, byID: make(map[string]*blackboard.Engine), removed: make(map[string]removedEngine)}
 }
 
 // apply updates the engines from one read and publishes them if they changed.
@@ -53,6 +70,7 @@
 		}
 		changed = e.put(row) || changed
 	}
+	e.forgetRemoved()
 	if e.expireMissing() || changed {
 		e.publish()
 	}
@@ -90,18 +108,45 @@
 		}
 		return true
 	}
-	delete(e.byID, id)
+	e.drop(engine)
 	e.controller.log.Info().Str("engine", id).Msg("engine was removed")
 	return true
 }
 
+// drop drops the engine and remembers it for removedRetention.
+func (e *engineSet) drop(engine *blackboard.Engine) {
+	delete(e.byID, engine.ID)
+	e.removed[engine.ID] = removedEngine{Engine: engine, at: clock.Now()}
+}
+
+// forgetRemoved forgets the engines that were removed long ago.
+func (e *engineSet) forgetRemoved() {
+	for id, engine := range e.removed {
+		if clock.Since(engine.at) > removedRetention {
+			delete(e.removed, id)
+		}
+	}
+}
+
+// lastLoad returns the EngineLoad of the start of the engine that the row registers, or nil
+// if this start is not known.
+func (e *engineSet) lastLoad(spec *catalog.Engine) *blackboard.EngineLoad {
+	if old := e.byID[spec.ID]; old != nil && old.StartedAtMs == spec.StartedAtMs {
+		return old.Load
+	}
+	if old, ok := e.removed[spec.ID]; ok && old.StartedAtMs == spec.StartedAtMs {
+		return old.Load
+	}
+	return nil
+}
+
 // expireMissing drops missing engines that did not register again within reregisterGrace.
 // It reports whether it dropped one.
 func (e *engineSet) expireMissing() bool {
 	changed := false
 	for id, engine := range e.byID {
 		if engine.MissingSince != 0 && clock.Since(engine.MissingSince) > reregisterGrace {
-			delete(e.byID, id)
+			e.drop(engine)
 			e.controller.log.Info().Str("engine", id).Msg("engine did not register again after the store became available; removed")
 			changed = true
 		}
@@ -118,7 +163,10 @@
 		return e.remove(row.Name)
 	}
 	now := clock.Now()
-	engine := &blackboard.Engine{Engine: spec, Load: new(blackboard.EngineLoad)}
+	engine := &blackboard.Engine{Engine: spec, Load: e.lastLoad(spec)}
+	if engine.Load == nil {
+		engine.Load = new(blackboard.EngineLoad)
+	}
 	if spec.ColdRemaining > 0 {
 		engine.ColdUntil = now.Add(spec.ColdRemaining)
 	}
@@ -129,7 +177,6 @@
 			Bool("draining", spec.Draining).Dur("cold_for", spec.ColdRemaining).Msg("engine registered")
 		return true
 	}
-	engine.Load = old.Load
 	if spec.Draining != old.Draining {
 		e.controller.log.Info().Str("engine", spec.ID).Bool("draining", spec.Draining).Msg("engine draining state changed")
 	}
--- a/entrytest/leaving_test.go
+++ b/entrytest/leaving_test.go
@@ -65,6 +65,8 @@
 			}{
 				{"at once", func() {}},
 				{"after a row change", func() { f.registerStart(e, 1000, 2) }},
+				{"after its row was removed", func() { f.store.RemoveRow("servers", "", e.id) }},
+				{"after its row came back", func() { f.registerStart(e, 1000, 3) }},
 			} {
 				step.change()
 				time.Sleep(rowReadTime)
