An odd row drops its engine after an outage of the store too

What callers saw: requests sent for two seconds to an engine whose row was replaced by one that cannot be decoded.

Cause: within two seconds of an outage of the store, the odd row was taken for one that is missing only because the engine could not renew it.

Before, go test ./controller/directory -run OddRow: an engine with an odd row is still used Now: ok.

--- a/controller/directory/engines.go
+++ b/controller/directory/engines.go
@@ -113,6 +113,16 @@
 	return true
 }
 
+// removeOdd drops the engine whose row cannot be decoded. It reports whether the engine was
+// known.
+func (e *engineSet) removeOdd(id string) bool {
+	engine, ok := e.byID[id]
+	if ok {
+		e.drop(engine)
+	}
+	return ok
+}
+
 // drop drops the engine and remembers it for removedRetention.
 func (e *engineSet) drop(engine *blackboard.Engine) {
 	delete(e.byID, engine.ID)
@@ -160,7 +170,7 @@
 	spec, err := e.controller.decoder.Engine(row)
 	if err != nil {
 		e.controller.log.Warn().Int64("row_version", row.Version).Err(err).Msg("cannot decode engine row")
-		return e.remove(row.Name)
+		return e.removeOdd(row.Name)
 	}
 	now := clock.Now()
 	engine := &blackboard.Engine{Engine: spec, Load: e.lastLoad(spec)}
--- a/controller/directory/engines_test.go
+++ b/controller/directory/engines_test.go
@@ -94,3 +94,14 @@
 		t.Errorf("%d removed engines are kept", len(e.removed))
 	}
 }
+
+// TestOddRowAfterAnOutageNamesNoEngine guards against an odd row that is taken for a row
+// that is missing only because the store was unavailable.
+func TestOddRowAfterAnOutageNamesNoEngine(t *testing.T) {
+	e := newEngineSet()
+	e.afterOutage = true
+	e.apply(changes(row("a", "odd")))
+	if e.engine("a") != nil {
+		t.Error("an engine with an odd row is still used")
+	}
+}
