A row of another part is no row of an engine

What callers saw: requests sent to an engine that was gone, until the next change of its row.

Cause: in a read of the whole table, a row of another part with the engine's key counted as the engine's row, though it is skipped otherwise.

Before, go test ./controller/directory -run AnotherPart: an engine without a row is still used Now: ok.

--- a/controller/directory/engines.go
+++ b/controller/directory/engines.go
@@ -81,7 +81,7 @@
 func (e *engineSet) removeMissing(rows []store.Row) bool {
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		present[row.Name] = true
+		present[row.Name] = present[row.Name] || row.Part == ""
 	}
 	changed := false
 	for id := range e.byID {
--- a/controller/directory/engines_test.go
+++ b/controller/directory/engines_test.go
@@ -105,3 +105,15 @@
 		t.Error("an engine with an odd row is still used")
 	}
 }
+
+// TestRowOfAnotherPartIsNoRowOfAnEngine guards against an engine that is kept although its
+// row is gone, because a row of another part has its key.
+func TestRowOfAnotherPartIsNoRowOfAnEngine(t *testing.T) {
+	e := newEngineSet()
+	other := row("a", "1")
+	other.Part = "part"
+	e.apply(table(other, row("b", "1")))
+	if e.engine("a") != nil {
+		t.Error("an engine without a row is still used")
+	}
+}
