A follower reads the whole table when the changes are too many

What callers saw: a daemon that no longer follows the engines, jobs or configuration.

Cause: a response of the store is read up to 4 MiB. Once the changes since the last read are more, for instance after a cut of some seconds while a writer replaces a row of 64 KiB again and again, each poll asks for the same changes and fails alike.

Change: the follower then reads the table by pages, as when the history is gone.

Before, go test ./store -run TooManyChanges: 0 rows, whole table: false, store: outcome is unknown: response is larger than 4194304 bytes Now: ok.

--- a/store/follower.go
+++ b/store/follower.go
@@ -28,14 +28,15 @@
 func NewFollower(s Store, table string) *Follower { return &Follower{store: s, table: table} }
 
 // Next returns the whole table on the first call, and again when the store no longer
-// keeps the changes since the previous call. Otherwise it returns those changes. It
+// keeps the changes since the previous call or they are too many for one response.
+// Otherwise it returns those changes. It
 // returns the error of a call to the store that failed; Next may then be called again.
 func (f *Follower) Next(ctx context.Context) (TableUpdate, error) {
 	if !f.loaded {
 		return f.readTable(ctx)
 	}
 	changes, err := f.store.Changes(ctx, f.table, f.version, 0)
-	if errors.Is(err, ErrHistoryGone) {
+	if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrResponseTooLarge) {
 		f.loaded = false
 		return f.readTable(ctx)
 	}
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -136,3 +136,27 @@
 		t.Errorf("store that has stopped: %v", err)
 	}
 }
+
+// TestFollowerReadsTheTableAfterTooManyChanges guards against a follower that stops because
+// the changes since its last read, such as many versions of one large row, are larger than
+// a response may be.
+func TestFollowerReadsTheTableAfterTooManyChanges(t *testing.T) {
+	p, err := standin.StartPlatform("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	f := store.NewFollower(platform.NewStore(p.URL()[len("http://"):]), "t")
+	p.PutRow("t", "", "sound", []byte("1"))
+	if _, err := f.Next(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		p.PutRow("t", "", "odd", make([]byte, 64<<10))
+	}
+	p.PutRow("t", "", "sound", []byte("2"))
+	update, err := f.Next(t.Context())
+	if err != nil || !update.WholeTable || len(update.Rows) != 2 {
+		t.Fatalf("%d rows, whole table: %v, %v", len(update.Rows), update.WholeTable, err)
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -23,6 +23,9 @@
 	ErrConflict = errors.New("store: conflict")
 	// ErrHistoryGone reports that the store no longer keeps the requested changes.
 	ErrHistoryGone = errors.New("store: requested changes are no longer kept")
+	// ErrResponseTooLarge reports a response that is larger than the client reads. The same
+	// call would get the same response.
+	ErrResponseTooLarge = errors.New("store: response is too large")
 )
 
 // Conflict is the error of a transaction whose conditions did not hold.
