An odd row among those of the daemons names no member

What callers saw: nothing yet; for up to 3.2 s a member that no daemon is would share the turns at cold engines and could become the owner of batch jobs.

Cause: a row such as null or {} was decoded as a member without a name.

Before, go test ./controller/roster -run OddRow: members " a1 elsewhere ", 3 odd rows; want "a1" and 6 Now: ok.

--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -130,6 +131,9 @@
 	o.lastRead = now
 }
 
+// errForeignRow reports a row whose key is not the incarnation that it holds.
+var errForeignRow = errors.New("row is not one that a daemon writes of itself")
+
 // apply applies the rows of one read. It calls unreadable for each row that cannot be
 // decoded and skips the row.
 func (o *observer) apply(update store.TableUpdate, unreadable func(store.Row, error)) {
@@ -148,7 +152,11 @@
 			continue
 		}
 		m := &member{version: row.Version, changedAt: o.elapsed}
-		if err := json.Unmarshal(row.Value, &m.peer); err != nil {
+		err := json.Unmarshal(row.Value, &m.peer)
+		if err == nil && m.peer.Incarnation != row.Name {
+			err = errForeignRow
+		}
+		if err != nil {
 			unreadable(row, err)
 			continue
 		}
--- a/controller/roster/roster_test.go
+++ b/controller/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +93,21 @@
 		t.Errorf("rows to remove: %v", keys)
 	}
 }
+
+// TestOddRowOfADaemonNamesNoMember guards against members that no daemon is, which would
+// count as running, share cold engines and become owners of batch jobs.
+func TestOddRowOfADaemonNamesNoMember(t *testing.T) {
+	o := newObserverTest(t)
+	o.read(time.Second, a1)
+	odd := 0
+	for name, value := range map[string]string{
+		"null": "null", "empty": "{}", "text": `"a"`, "other": `{"name":"b","incarnation":"elsewhere"}`, "nested": strings.Repeat("[", 1<<15), "no bytes": "",
+	} {
+		o.version++
+		rows := []store.Row{{Key: store.Key{Table: Table, Name: name}, Value: []byte(value), Version: o.version}}
+		o.apply(store.TableUpdate{Response: store.Response{Rows: rows}}, func(store.Row, error) { odd++ })
+	}
+	if got := o.names(); got != a1.Incarnation+" " || odd != 6 {
+		t.Errorf("members %q, %d odd rows; want %q and 6", got, odd, a1.Incarnation)
+	}
+}
