--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -48,6 +48,15 @@
 	// BatchDemand is the batch work that waits on this daemon. controller/jobs
 	// writes it.
 	BatchDemand Section[BatchDemand]
+	// Quarantine is the set of prompt segments that crash engines.
+	// controller/quarantine writes it.
+	Quarantine Section[*Quarantine]
+	// Crashes holds the crashes of engines that requests saw, for
+	// controller/quarantine.
+	Crashes *CrashQueue
+	// SoundSegments are the prompt segments that engines answered lately. Requests
+	// and batch items record them.
+	SoundSegments SoundSegments
 	// PeersWithBatchDemand is the number of other daemons on which batch items wait.
 	// controller/loads writes it.
 	PeersWithBatchDemand atomic.Int64
@@ -70,6 +79,8 @@
 	b.Roster.Publish(new(Roster))
 	b.Jobs.Publish(NewJobs(nil))
 	b.RateLimiters.Publish(NewRateLimiters())
+	b.Quarantine.Publish(new(Quarantine))
+	b.Crashes = NewCrashQueue()
 	b.ReportingDaemons.Store(1)
 	return b
 }
