Quarantine of prompt segments that crash engines: ledger, controller, evidence in load reports

Nothing fed the board's quarantine: a daemon sees one crash in nine and had no way to hear of the others. policy/quarantine judges crashes by engine start, request and segment; controller/quarantine keeps the verdicts on the board; load reports carry the evidence with its original reporter, fresh in every report and then once a second. An answer to any request with a segment clears it.

--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -54,6 +54,12 @@
 	// Crashes holds the crashes of engines that requests saw, for
 	// controller/quarantine.
 	Crashes *CrashQueue
+	// Evidence is what this daemon and others know about segments that may crash engines.
+	// controller/quarantine writes it.
+	Evidence Section[*Evidence]
+	// PeerEvidence holds the evidence that other daemons reported, for
+	// controller/quarantine.
+	PeerEvidence *EvidenceQueue
 	// SoundSegments are the prompt segments that engines answered lately. Requests
 	// and batch items record them.
 	SoundSegments SoundSegments
@@ -81,6 +87,8 @@
 	b.RateLimiters.Publish(NewRateLimiters())
 	b.Quarantine.Publish(new(Quarantine))
 	b.Crashes = NewCrashQueue()
+	b.Evidence.Publish(new(Evidence))
+	b.PeerEvidence = NewEvidenceQueue()
 	b.ReportingDaemons.Store(1)
 	return b
 }
--- a/blackboard/quarantine.go
+++ b/blackboard/quarantine.go
@@ -50,6 +50,9 @@
 	return q.MayTry && now >= q.TrialDue && q.trialTaken.CompareAndSwap(false, true)
 }
 
+// TrialTaken reports whether this daemon has used its trial.
+func (q *Quarantined) TrialTaken() bool { return q.trialTaken.Load() }
+
 // Blocked returns the first of the segments that is quarantined, with the time until its
 // next trial, or false if none is.
 func (q *Quarantine) Blocked(segments []Segment, now clock.Instant) (blocked *Quarantined, wait time.Duration) {
@@ -118,6 +121,17 @@
 // IsSound reports whether the segment was recorded lately. It may miss one that was
 // recorded.
 func (s *SoundSegments) IsSound(segment Segment, now clock.Instant) bool {
+	at, ok := s.AnsweredAt(segment)
+	return ok && now.Sub(at) < soundValidity
+}
+
+// AnsweredAt returns when the segment was last recorded, or false if it was not. It may miss
+// one that was recorded.
+func (s *SoundSegments) AnsweredAt(segment Segment) (at clock.Instant, ok bool) {
 	p := &s.places[uint64(segment)%soundPlaces]
-	return p.segment.Load() == uint64(segment) && now.Sub(clock.Instant(p.at.Load())) < soundValidity
+	if p.segment.Load() != uint64(segment) {
+		return 0, false
+	}
+	at = clock.Instant(p.at.Load())
+	return at, at != 0 && p.segment.Load() == uint64(segment) // a record of another segment changes this first
 }
--- a/controller/loads/datacentre.go
+++ b/controller/loads/datacentre.go
@@ -29,6 +29,7 @@
 type sumSender struct {
 	sentAt   clock.Instant
 	admitted changedCounts
+	evidence evidenceSender
 }
 
 // sendSumIfDue sends the sum of this data centre's reports to one daemon of each other data
@@ -84,6 +85,8 @@
 		own.WaitingDaemons = 1
 	}
 	sum.WaitingItems, sum.DataCentre = 0, own
+	pieces := c.sums.evidence.choose(sumPieces(c.board.Evidence.Value()), maxToldBySum, now)
+	sum.Evidence = encodeEvidence(pieces, roster.Self.Name, now)
 	admitted := admittedCounts(c.board.RateLimiters.Value())
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -35,7 +35,8 @@
 
 // Controller writes what the other daemons report to the blackboard: their part of the
 // engines' loads and of the limiters' admissions, SuspectedByPeers of the engines'
-// health, PeersWithBatchDemand, ReportingDaemons and PeerReadAt. It also writes
+// health, PeersWithBatchDemand, ReportingDaemons and PeerReadAt. It queues their evidence
+// about prompt segments in PeerEvidence and tells them what Evidence holds. It also writes
 // PreferredEngines, the engines that this daemon chooses first, and marks slow engines.
 type Controller struct {
 	board *blackboard.EntryBoard
@@ -46,6 +47,7 @@
 	// The fields up to mu are used by the goroutine of RunSender only.
 	preferredFor [2]uint64 // versions of Engines and Roster from which PreferredEngines was computed
 	admittedHere changedCounts
+	evidence     evidenceSender
 	sums         sumSender
 
 	mu      sync.Mutex         // guards the fields below
@@ -90,7 +92,8 @@
 func New(board *blackboard.EntryBoard, conn *net.UDPConn, logger *log.Logger) *Controller {
 	return &Controller{
 		board: board, conn: conn, write: conn.WriteToUDPAddrPort, log: logger,
-		admittedHere: make(changedCounts), sums: sumSender{admitted: make(changedCounts)},
+		admittedHere: make(changedCounts), evidence: make(evidenceSender),
+		sums:    sumSender{admitted: make(changedCounts), evidence: make(evidenceSender)},
 		reports: make(map[string]*report), admitted: make(map[admissionsOf]map[string]int64),
 		admittedNearby: make(map[string]int64),
 	}
@@ -140,7 +143,11 @@
 	if r.DataCentre != nil && r.DataCentre.Name == roster.Self.DataCentre {
 		return // its daemons report to this one themselves
 	}
-	if c.applyNewer(r, roster) && r.DataCentre != nil && !r.DataCentre.Forwarded {
+	if !c.applyNewer(r, roster) {
+		return
+	}
+	c.passEvidence(&r, roster)
+	if r.DataCentre != nil && !r.DataCentre.Forwarded {
 		c.forward(r, roster)
 	}
 }
@@ -234,6 +241,8 @@
 func (c *Controller) newReport(roster *blackboard.Roster, sequence int64) peer.LoadReport {
 	r := c.ownCounts(roster, sequence)
 	r.Admitted = c.admittedHere.changed(admittedCounts(c.board.RateLimiters.Value()))
+	self, now := roster.Self.Name, clock.Now()
+	r.Evidence = encodeEvidence(c.evidence.choose(ownPieces(c.board.Evidence.Value(), self), maxToldByDaemon, now), self, now)
 	return r
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -21,6 +21,7 @@
 	"github.com/baobablanding/baobablanding/controller/directory"
 	"github.com/baobablanding/baobablanding/controller/jobs"
 	"github.com/baobablanding/baobablanding/controller/loads"
+	"github.com/baobablanding/baobablanding/controller/quarantine"
 	"github.com/baobablanding/baobablanding/controller/rates"
 	"github.com/baobablanding/baobablanding/controller/roster"
 	"github.com/baobablanding/baobablanding/httpserve"
@@ -148,6 +149,7 @@
 	for _, run := range []func(context.Context){
 		directories.RunOperators, directories.RunEngines, e.roster.RunObserver,
 		loadExchange.RunReceiver, loadExchange.RunSender,
+		quarantine.New(e.board, quarantine.NewMetrics(reg, e.board), e.log).Run,
 		rates.New(e.board, rows, e.log).Run, e.jobs.RunFollower, e.jobs.Run,
 	} {
 		e.controllers.run(run)
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -41,6 +41,9 @@
 	// lowest age, the third of an engine's counts the largest and the fourth the number
 	// of daemons; Admitted counts what the sender knows to have been admitted.
 	DataCentre *DataCentreSum `json:"data_centre,omitempty"`
+	// Evidence is what the sender, or daemons of its data centre, know of segments that may
+	// crash engines. Daemons of earlier builds ignore it.
+	Evidence *Evidence `json:"evidence,omitempty"`
 }
 
 // DataCentreSum says whose load reports were added up. The sum is sent to one daemon of
--- /dev/null
+++ b/policy/quarantine/tell.go
@@ -0,0 +1,72 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
+)
+
+// clearTellingTime is how long an answer is told to other daemons after evidence from before
+// it last arrived.
+const clearTellingTime = 10 * time.Second
+
+// Evidence returns what the ledger holds for other daemons. It may be told to them until
+// Version changes.
+func (l *Ledger) Evidence(now clock.Instant) *blackboard.Evidence {
+	e := &blackboard.Evidence{Crashes: slices.Clone(l.crashes)}
+	for _, v := range l.verdicts {
+		e.Verdicts = append(e.Verdicts, blackboard.VerdictClaim{
+			Reporter: l.self, Segment: v.Segment, LastCrash: v.LastCrash, TrialDue: v.TrialDue, Extensions: v.Extensions,
+		})
+	}
+	for _, claim := range l.claims {
+		e.Verdicts = append(e.Verdicts, claim)
+	}
+	for _, c := range l.clears {
+		if l.isTold(c, now) {
+			e.Clears = append(e.Clears, c.ClearClaim)
+		}
+	}
+	return e
+}
+
+// isTold reports whether other daemons may need to know of the answer.
+func (l *Ledger) isTold(c cleared, now clock.Instant) bool {
+	return now.Sub(c.contradictedAt) < clearTellingTime
+}
+
+// countTold returns the number of answers that are told to other daemons.
+func (l *Ledger) countTold(now clock.Instant) int {
+	n := 0
+	for _, c := range l.clears {
+		if l.isTold(c, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Doubtful returns the segments for which there is evidence, each with the time of its
+// earliest. An answer after that time clears the segment of it.
+func (l *Ledger) Doubtful() map[blackboard.Segment]clock.Instant {
+	doubtful := make(map[blackboard.Segment]clock.Instant)
+	add := func(s blackboard.Segment, at clock.Instant) {
+		if old, ok := doubtful[s]; !ok || at < old {
+			doubtful[s] = at
+		}
+	}
+	for i := range l.crashes {
+		for _, s := range l.crashes[i].Segments {
+			add(s, l.crashes[i].SeenAt)
+		}
+	}
+	for s, v := range l.verdicts {
+		add(s, v.LastCrash)
+	}
+	for key, claim := range l.claims {
+		add(key.segment, claim.LastCrash)
+	}
+	return doubtful
+}
--- /dev/null
+++ b/policy/quarantine/verdict.go
@@ -0,0 +1,215 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
+)
+
+const (
+	// quarantineTime is the time from the last crash to the first trial. It doubles with
+	// each trial that crashes an engine, up to maxQuarantineTime.
+	quarantineTime, maxQuarantineTime = time.Minute, 10 * time.Minute
+	// forgetTime is how long after its trial is due a verdict is kept if no request with the
+	// segment comes.
+	forgetTime = 30 * time.Minute
+	// maxExtensionsByPeer is how often one other daemon's crashes extend a verdict.
+	maxExtensionsByPeer = 4
+	// minVotingDaemons is the size of a fleet from which on another daemon's claims count
+	// only once for a segment.
+	minVotingDaemons = 3
+	// maxVotesOfSum is the number of daemons of one data centre that count for a segment if
+	// the data centre's sum names them.
+	maxVotesOfSum = 2
+	// minAdoptedClaims is the number of daemons whose verdict is adopted.
+	minAdoptedClaims = 2
+)
+
+// Verdict is the finding that a segment crashes engines.
+type Verdict struct {
+	// Segment is the segment.
+	Segment blackboard.Segment
+	// LastCrash is when it last crashed an engine.
+	LastCrash clock.Instant
+	// TrialDue is when the fleet may run one request with it.
+	TrialDue clock.Instant
+	// Extensions is the number of trials that crashed an engine.
+	Extensions int
+
+	extendedBy map[string]int // by other daemon: how often its crashes extended the verdict
+}
+
+// EventKind says what happened to a verdict.
+type EventKind int
+
+// Kinds of events.
+const (
+	Quarantined EventKind = iota // a verdict was found
+	Adopted                      // the verdict of other daemons was adopted
+	Extended                     // another crash, or a trial that crashed, extended the verdict
+	Forgotten                    // no request with the segment came for long
+)
+
+// Event is a change of a verdict.
+type Event struct {
+	// Kind says what happened.
+	Kind EventKind
+	// Verdict is the state after the change. It belongs to the ledger.
+	Verdict *Verdict
+	// Crash is the last crash that led to the change, or nil.
+	Crash *blackboard.CrashClaim
+	// Reporters are the names of the daemons whose evidence led to the change.
+	Reporters []string
+}
+
+// Evaluate drops what is too old, and brings the verdicts up to date with the evidence. A
+// fleet is given by the number of its daemons.
+func (l *Ledger) Evaluate(now clock.Instant, daemons int) []Event {
+	l.expire(now)
+	bySegment := make(map[blackboard.Segment][]*blackboard.CrashClaim)
+	for i := range l.crashes {
+		for _, s := range l.crashes[i].Segments {
+			bySegment[s] = append(bySegment[s], &l.crashes[i])
+		}
+	}
+	var events []Event
+	for s, crashes := range bySegment {
+		slices.SortStableFunc(crashes, func(a, b *blackboard.CrashClaim) int { return cmp.Compare(a.SeenAt, b.SeenAt) })
+		if v := l.verdicts[s]; v != nil {
+			events = append(events, l.extend(v, crashes)...)
+		} else if counted := countedCrashes(crashes, l.self, daemons); isGuilty(counted) && len(l.verdicts) < maxVerdicts {
+			events = append(events, l.quarantine(s, counted))
+		}
+	}
+	events = append(events, l.adopt(daemons)...)
+	return append(events, l.forget(now)...)
+}
+
+// expire drops evidence that is too old.
+func (l *Ledger) expire(now clock.Instant) {
+	before := len(l.crashes) + len(l.claims) + len(l.clears)
+	l.crashes = slices.DeleteFunc(l.crashes, func(c blackboard.CrashClaim) bool { return now.Sub(c.SeenAt) > evidenceTime })
+	for key, claim := range l.claims {
+		if now.Sub(claim.TrialDue) > forgetTime {
+			delete(l.claims, key)
+		}
+	}
+	for s, c := range l.clears {
+		if now.Sub(c.contradictedAt) > evidenceTime {
+			delete(l.clears, s)
+		}
+	}
+	told := l.countTold(now)
+	if len(l.crashes)+len(l.claims)+len(l.clears) != before || told != l.told {
+		l.told = told
+		l.version++
+	}
+}
+
+// quarantine adds a verdict that the crashes, in order of time, justify.
+func (l *Ledger) quarantine(s blackboard.Segment, crashes []*blackboard.CrashClaim) Event {
+	last := crashes[len(crashes)-1]
+	v := &Verdict{Segment: s, LastCrash: last.SeenAt, TrialDue: last.SeenAt.Add(quarantineTime), extendedBy: make(map[string]int)}
+	l.verdicts[s] = v
+	l.version++
+	return Event{Kind: Quarantined, Verdict: v, Crash: last, Reporters: reportersOf(crashes)}
+}
+
+// reportersOf returns the names of the daemons that reported the crashes.
+func reportersOf(crashes []*blackboard.CrashClaim) []string {
+	var names []string
+	for _, c := range crashes {
+		if !slices.Contains(names, c.Reporter) {
+			names = append(names, c.Reporter)
+		}
+	}
+	return names
+}
+
+// extend extends a verdict by the crashes, in order of time, that came after its last one.
+func (l *Ledger) extend(v *Verdict, crashes []*blackboard.CrashClaim) []Event {
+	var events []Event
+	for _, c := range crashes {
+		if c.SeenAt <= v.LastCrash {
+			continue
+		}
+		if c.Reporter != l.self {
+			if v.extendedBy[c.Reporter] >= maxExtensionsByPeer {
+				continue
+			}
+			v.extendedBy[c.Reporter]++
+		}
+		if c.SeenAt >= v.TrialDue {
+			v.Extensions++
+		}
+		v.LastCrash = c.SeenAt
+		v.TrialDue = c.SeenAt.Add(quarantineTimeAfter(v.Extensions))
+		l.version++
+		events = append(events, Event{Kind: Extended, Verdict: v, Crash: c, Reporters: []string{c.Reporter}})
+	}
+	return events
+}
+
+// quarantineTimeAfter returns the time from a crash to the next trial after the given number
+// of trials that crashed an engine.
+func quarantineTimeAfter(extensions int) time.Duration {
+	return min(quarantineTime<<min(extensions, 8), maxQuarantineTime)
+}
+
+// adopt adds the verdicts that enough other daemons hold, so that a daemon that restarted
+// learns them. Of different claims the one with the earliest trial counts.
+func (l *Ledger) adopt(daemons int) []Event {
+	needed := minAdoptedClaims
+	if daemons < minVotingDaemons {
+		needed = 1
+	}
+	bySegment := make(map[blackboard.Segment][]blackboard.VerdictClaim)
+	for key, claim := range l.claims {
+		if l.verdicts[key.segment] == nil {
+			bySegment[key.segment] = append(bySegment[key.segment], claim)
+		}
+	}
+	var events []Event
+	for s, claims := range bySegment {
+		reporters := countedClaims(claims)
+		if len(reporters) < needed || len(l.verdicts) >= maxVerdicts {
+			continue
+		}
+		first := slices.MinFunc(claims, func(a, b blackboard.VerdictClaim) int { return cmp.Compare(a.TrialDue, b.TrialDue) })
+		v := &Verdict{Segment: s, LastCrash: first.LastCrash, TrialDue: first.TrialDue, Extensions: max(first.Extensions, 0), extendedBy: make(map[string]int)}
+		l.verdicts[s] = v
+		l.version++
+		events = append(events, Event{Kind: Adopted, Verdict: v, Reporters: reporters})
+	}
+	return events
+}
+
+// countedClaims returns the names of the daemons whose claims count.
+func countedClaims(claims []blackboard.VerdictClaim) []string {
+	var reporters []string
+	votes := make(map[string]int) // by data centre
+	for _, c := range claims {
+		if c.SumOf != "" && votes[c.SumOf] >= maxVotesOfSum {
+			continue
+		}
+		votes[c.SumOf]++
+		reporters = append(reporters, c.Reporter)
+	}
+	return reporters
+}
+
+// forget drops verdicts on segments with which no request came for long.
+func (l *Ledger) forget(now clock.Instant) []Event {
+	var events []Event
+	for s, v := range l.verdicts {
+		if now.Sub(v.TrialDue) > forgetTime {
+			delete(l.verdicts, s)
+			l.version++
+			events = append(events, Event{Kind: Forgotten, Verdict: v})
+		}
+	}
+	return events
+}
