--- a/blackboard/quarantine.go
+++ b/blackboard/quarantine.go
@@ -47,21 +47,31 @@
 
 // TakeTrial reports whether the caller may run the trial. Only one caller gets it.
 func (q *Quarantined) TakeTrial(now clock.Instant) bool {
-	return q.MayTry && now >= q.TrialDue && q.trialTaken.CompareAndSwap(false, true)
+	return q.isTrial(now) && q.trialTaken.CompareAndSwap(false, true)
 }
 
 // TrialTaken reports whether this daemon has used its trial.
 func (q *Quarantined) TrialTaken() bool { return q.trialTaken.Load() }
 
-// Blocked returns the first of the segments that is quarantined, with the time until its
-// next trial, or false if none is.
+// Blocked returns the one of the segments that is quarantined and whose trial is due last,
+// with the time until then, or nil if none is. A request with several of them is thus no
+// trial before the last one is due.
 func (q *Quarantine) Blocked(segments []Segment, now clock.Instant) (blocked *Quarantined, wait time.Duration) {
 	for _, s := range segments {
-		if b := q.BySegment[s]; b != nil {
-			return b, max(b.TrialDue.Sub(now), 0)
+		b := q.BySegment[s]
+		if b != nil && (blocked == nil || !b.isTrial(now) || blocked.isTrial(now) && b.TrialDue > blocked.TrialDue) {
+			blocked = b
 		}
 	}
-	return nil, 0
+	if blocked == nil {
+		return nil, 0
+	}
+	return blocked, max(blocked.TrialDue.Sub(now), 0)
+}
+
+// isTrial reports whether a request with the segment would be this daemon's trial.
+func (q *Quarantined) isTrial(now clock.Instant) bool {
+	return q.MayTry && now >= q.TrialDue && !q.trialTaken.Load()
 }
 
 // CrashQueue passes crashes from requests to the controller that judges them. It drops
--- a/controller/quarantine/quarantine.go
+++ b/controller/quarantine/quarantine.go
@@ -116,8 +116,8 @@
 // judge brings the verdicts up to date and publishes what changed.
 func (c *Controller) judge() {
 	now := clock.Now()
-	for s, since := range c.ledger.Doubtful() {
-		if at, ok := c.board.SoundSegments.AnsweredAt(s); ok && at > since {
+	for _, s := range c.ledger.Doubtful() {
+		if at, ok := c.board.SoundSegments.AnsweredAt(s); ok && c.board.SoundSegments.IsSound(s, now) {
 			c.clear(blackboard.ClearClaim{Segment: s, AnsweredAt: at, SeenHere: true}, now)
 		}
 	}
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -36,6 +36,9 @@
 	verdicts map[blackboard.Segment]*Verdict
 	version  uint64
 	told     int // number of answers that other daemons are told
+
+	evaluated   evaluated
+	evaluatedAt clock.Instant
 }
 
 // claimKey identifies the claim of a verdict.
@@ -47,7 +50,7 @@
 // cleared is the latest known answer to a request with a segment.
 type cleared struct {
 	blackboard.ClearClaim
-	contradictedAt clock.Instant // when evidence from before the answer last arrived
+	contradictedAt clock.Instant // when evidence against the segment last arrived
 }
 
 // NewLedger returns an empty ledger of the named daemon.
@@ -117,13 +120,15 @@
 func (l *Ledger) uncleared(segments []blackboard.Segment, crashedAt, now clock.Instant) []blackboard.Segment {
 	var kept []blackboard.Segment
 	for _, s := range segments {
-		if c, ok := l.clears[s]; ok && c.AnsweredAt >= crashedAt {
+		c, ok := l.clears[s]
+		if ok {
 			c.contradictedAt = now
 			l.clears[s] = c
-			l.version++
-		} else if len(kept) < maxCrashSegments && !slices.Contains(kept, s) {
-			kept = append(kept, s)
 		}
+		if ok && c.AnsweredAt >= crashedAt || len(kept) >= maxCrashSegments || slices.Contains(kept, s) {
+			continue
+		}
+		kept = append(kept, s)
 	}
 	return kept
 }
@@ -197,7 +202,7 @@
 }
 
 // Clear records that an engine answered a request with the segment, and drops the evidence
-// from before. It reports whether it ended a verdict.
+// from before. For later evidence, see blamed. It reports whether it ended a verdict.
 func (l *Ledger) Clear(c blackboard.ClearClaim, now clock.Instant) (ended bool) {
 	c.AnsweredAt = min(c.AnsweredAt, now)
 	old, known := l.clears[c.Segment]
--- a/policy/quarantine/tell.go
+++ b/policy/quarantine/tell.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -48,25 +49,19 @@
 	return n
 }
 
-// Doubtful returns the segments for which there is evidence, each with the time of its
-// earliest. An answer after that time clears the segment of it.
-func (l *Ledger) Doubtful() map[blackboard.Segment]clock.Instant {
-	doubtful := make(map[blackboard.Segment]clock.Instant)
-	add := func(s blackboard.Segment, at clock.Instant) {
-		if old, ok := doubtful[s]; !ok || at < old {
-			doubtful[s] = at
-		}
-	}
+// Doubtful returns the segments for which there is evidence, each once.
+func (l *Ledger) Doubtful() []blackboard.Segment {
+	doubtful := make(map[blackboard.Segment]bool)
 	for i := range l.crashes {
 		for _, s := range l.crashes[i].Segments {
-			add(s, l.crashes[i].SeenAt)
+			doubtful[s] = true
 		}
 	}
-	for s, v := range l.verdicts {
-		add(s, v.LastCrash)
+	for s := range l.verdicts {
+		doubtful[s] = true
 	}
-	for key, claim := range l.claims {
-		add(key.segment, claim.LastCrash)
+	for key := range l.claims {
+		doubtful[key.segment] = true
 	}
-	return doubtful
+	return slices.Collect(maps.Keys(doubtful))
 }
--- a/policy/quarantine/verdict.go
+++ b/policy/quarantine/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,10 +25,18 @@
 	// maxVotesOfSum is the number of daemons of one data centre that count for a segment if
 	// the data centre's sum names them.
 	maxVotesOfSum = 2
+	// evaluateInterval is how often evidence is checked for its age.
+	evaluateInterval = 500 * time.Millisecond
 	// minAdoptedClaims is the number of daemons whose verdict is adopted.
 	minAdoptedClaims = 2
 )
 
+// evaluated is the state that was evaluated.
+type evaluated struct {
+	version uint64
+	daemons int
+}
+
 // Verdict is the finding that a segment crashes engines.
 type Verdict struct {
 	// Segment is the segment.
@@ -66,21 +75,25 @@
 }
 
 // Evaluate drops what is too old, and brings the verdicts up to date with the evidence. A
-// fleet is given by the number of its daemons.
+// fleet is given by the number of its daemons. It does nothing if it was called less than
+// evaluateInterval ago and nothing changed since.
 func (l *Ledger) Evaluate(now clock.Instant, daemons int) []Event {
-	l.expire(now)
-	bySegment := make(map[blackboard.Segment][]*blackboard.CrashClaim)
-	for i := range l.crashes {
-		for _, s := range l.crashes[i].Segments {
-			bySegment[s] = append(bySegment[s], &l.crashes[i])
-		}
+	state := evaluated{version: l.version, daemons: daemons}
+	if state == l.evaluated && now.Sub(l.evaluatedAt) < evaluateInterval {
+		return nil
 	}
+	l.evaluated, l.evaluatedAt = state, now
+	l.expire(now)
+	bySegment := l.accusations(daemons)
+	held := maps.Clone(l.verdicts)
 	var events []Event
-	for s, crashes := range bySegment {
-		slices.SortStableFunc(crashes, func(a, b *blackboard.CrashClaim) int { return cmp.Compare(a.SeenAt, b.SeenAt) })
-		if v := l.verdicts[s]; v != nil {
-			events = append(events, l.extend(v, crashes)...)
-		} else if counted := countedCrashes(crashes, l.self, daemons); isGuilty(counted) && len(l.verdicts) < maxVerdicts {
+	for s, a := range bySegment {
+		if v := held[s]; v != nil {
+			events = append(events, l.extend(v, a.crashes)...)
+			continue
+		}
+		counted := slices.DeleteFunc(a.counted, func(c *blackboard.CrashClaim) bool { return isExplained(c, s, bySegment, held) })
+		if isGuilty(counted) && len(l.verdicts) < maxVerdicts {
 			events = append(events, l.quarantine(s, counted))
 		}
 	}
@@ -160,7 +173,8 @@
 }
 
 // adopt adds the verdicts that enough other daemons hold, so that a daemon that restarted
-// learns them. Of different claims the one with the earliest trial counts.
+// learns them, except on segments of which it knows an answer. Of different claims the one
+// with the earliest trial counts.
 func (l *Ledger) adopt(daemons int) []Event {
 	needed := minAdoptedClaims
 	if daemons < minVotingDaemons {
@@ -168,7 +182,7 @@
 	}
 	bySegment := make(map[blackboard.Segment][]blackboard.VerdictClaim)
 	for key, claim := range l.claims {
-		if l.verdicts[key.segment] == nil {
+		if _, answered := l.clears[key.segment]; !answered && l.verdicts[key.segment] == nil {
 			bySegment[key.segment] = append(bySegment[key.segment], claim)
 		}
 	}
