--- a/policy/quarantine/accuse.go
+++ b/policy/quarantine/accuse.go
@@ -7,10 +7,24 @@
 	"github.com/baobablanding/baobablanding/blackboard"
 )
 
-// accusation is the evidence against a segment: all crashes that are blamed on it, in order
-// of time, and those that count.
+// accusation is the evidence against a segment: all crashes after its last known answer, in
+// order of time, and those that count.
 type accusation struct {
 	crashes, counted []*blackboard.CrashClaim
+	// answered reports whether an answer from before is known. A segment may turn deadly, but
+	// one that was never answered is the more likely cause.
+	answered bool
+}
+
+// answeredFactor is how much more evidence convicts a segment that was answered before.
+const answeredFactor = 2
+
+// weight compares the evidence with that against other segments of the same requests.
+func (a *accusation) weight() int {
+	if a.answered {
+		return len(a.counted) / answeredFactor
+	}
+	return len(a.counted)
 }
 
 // accusations returns the evidence against each segment. A fleet is given by the number of
@@ -18,9 +32,10 @@
 func (l *Ledger) accusations(daemons int) map[blackboard.Segment]*accusation {
 	bySegment := make(map[blackboard.Segment]*accusation)
 	for i := range l.crashes {
-		for _, s := range l.blamed(&l.crashes[i]) {
+		for _, s := range l.crashes[i].Segments {
 			if bySegment[s] == nil {
-				bySegment[s] = new(accusation)
+				_, answered := l.clears[s]
+				bySegment[s] = &accusation{answered: answered}
 			}
 			bySegment[s].crashes = append(bySegment[s].crashes, &l.crashes[i])
 		}
@@ -32,23 +47,8 @@
 	return bySegment
 }
 
-// blamed returns the segments on which the crash is blamed: those of which no daemon knows an
-// answer, or all of them if there is none such, since a segment may turn deadly.
-func (l *Ledger) blamed(c *blackboard.CrashClaim) []blackboard.Segment {
-	var blamed []blackboard.Segment
-	for _, s := range c.Segments {
-		if _, answered := l.clears[s]; !answered {
-			blamed = append(blamed, s)
-		}
-	}
-	if len(blamed) == 0 {
-		return c.Segments
-	}
-	return blamed
-}
-
 // isExplained reports whether the crash does not count against the segment: its request also
-// had a segment that is quarantined already, or against which more crashes count.
+// had a segment that is quarantined already, or one with more evidence against it.
 func isExplained(c *blackboard.CrashClaim, s blackboard.Segment, bySegment map[blackboard.Segment]*accusation, verdicts map[blackboard.Segment]*Verdict) bool {
 	for _, other := range c.Segments {
 		if other == s {
@@ -57,7 +57,7 @@
 		if verdicts[other] != nil {
 			return true
 		}
-		if a := bySegment[other]; a != nil && len(a.counted) > len(bySegment[s].counted) {
+		if a := bySegment[other]; a != nil && a.weight() > bySegment[s].weight() {
 			return true
 		}
 	}
--- a/policy/quarantine/guilt.go
+++ b/policy/quarantine/guilt.go
@@ -91,8 +91,8 @@
 }
 
 // isGuilty reports whether the crashes, in order of time, convict the segment that all of
-// them have.
-func isGuilty(crashes []*blackboard.CrashClaim) bool {
+// them have. Answered says whether it was answered before.
+func isGuilty(crashes []*blackboard.CrashClaim, answered bool) bool {
 	engines := make(map[engineStart]bool)
 	requests := make(map[uint64]bool)
 	incidents := 0
@@ -110,6 +110,10 @@
 		together[c.EngineDataCentre] = c.SeenAt
 		incidents++
 	}
-	return incidents >= minIncidents && len(requests) >= 2 || incidents >= minIncidentsOfOne ||
-		len(engines) >= minEngines && len(requests) >= minEngines
+	factor := 1
+	if answered {
+		factor = answeredFactor
+	}
+	return incidents >= factor*minIncidents && len(requests) >= 2 || incidents >= factor*minIncidentsOfOne ||
+		len(engines) >= factor*minEngines && len(requests) >= factor*minEngines
 }
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -23,6 +23,8 @@
 	maxVerdicts = 256
 	// maxClaimsByPeer bounds the verdicts that another daemon claims.
 	maxClaimsByPeer = 64
+	// reportDelay is the difference up to which two claims mean the same time.
+	reportDelay = 2 * time.Second
 	// maxClears bounds the answers in a ledger.
 	maxClears = 1024
 )
@@ -183,9 +185,13 @@
 		return
 	}
 	key := claimKey{v.Segment, v.Reporter}
-	if _, known := l.claims[key]; !known && l.countClaims(v.Reporter) >= maxClaimsByPeer {
+	old, known := l.claims[key]
+	if !known && l.countClaims(v.Reporter) >= maxClaimsByPeer {
 		return
 	}
+	if known && old.Extensions == v.Extensions && v.TrialDue.Sub(old.TrialDue).Abs() < reportDelay {
+		return // repeated
+	}
 	l.claims[key] = v
 	l.version++
 }
@@ -202,7 +208,7 @@
 }
 
 // Clear records that an engine answered a request with the segment, and drops the evidence
-// from before. For later evidence, see blamed. It reports whether it ended a verdict.
+// from before. For later evidence, see accusation. It reports whether it ended a verdict.
 func (l *Ledger) Clear(c blackboard.ClearClaim, now clock.Instant) (ended bool) {
 	c.AnsweredAt = min(c.AnsweredAt, now)
 	old, known := l.clears[c.Segment]
--- a/policy/quarantine/verdict.go
+++ b/policy/quarantine/verdict.go
@@ -92,8 +92,8 @@
 			events = append(events, l.extend(v, a.crashes)...)
 			continue
 		}
-		counted := slices.DeleteFunc(a.counted, func(c *blackboard.CrashClaim) bool { return isExplained(c, s, bySegment, held) })
-		if isGuilty(counted) && len(l.verdicts) < maxVerdicts {
+		counted := slices.DeleteFunc(slices.Clone(a.counted), func(c *blackboard.CrashClaim) bool { return isExplained(c, s, bySegment, held) })
+		if isGuilty(counted, a.answered) && len(l.verdicts) < maxVerdicts {
 			events = append(events, l.quarantine(s, counted))
 		}
 	}
