--- a/controller/loads/evidence.go
+++ b/controller/loads/evidence.go
@@ -16,7 +16,7 @@
 	// repeatInterval is the time between two reports with it afterwards.
 	repeatInterval = time.Second
 	// maxToldByDaemon and maxToldBySum bound the pieces of evidence in one report.
-	maxToldByDaemon, maxToldBySum = 4, 8
+	maxToldByDaemon, maxToldBySum = 3, 8
 	// maxVotesOfSum is the number of daemons whose claims about one segment a sum names.
 	maxVotesOfSum = 2
 	// maxToldSegments bounds the segments of a crash in a report.
