--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -19,7 +19,7 @@
 	maxCrashes, maxCrashesByPeer = 512, 32
 	// maxCrashSegments bounds the segments of a crash.
 	maxCrashSegments = 8
-	// maxVerdicts bounds the verdicts and the segments for which daemons claim one.
+	// maxVerdicts bounds the verdicts.
 	maxVerdicts = 256
 	// maxClaimsByPeer bounds the verdicts that another daemon claims.
 	maxClaimsByPeer = 64
