Batch items with a quarantined segment wait, and pause after a crash, without holding up others

Callers saw: a batch item whose prompt crashes engines ran at one engine after the other without a pause, each time taking the items beside it down.

Cause: an item whose connection was lost runs again at once, and a job starts only the item at the head of its queue, so that an item that must wait would hold up the others.

Change: runs of items record sound segments and report crashes like online requests, on the same board. After a crash an item waits for 1 s, and up to 2 s while its segments are neither known to be sound nor quarantined. Items that must wait, or whose segment is quarantined, are passed over, don't count as demand, and are given up by their job's age as before. The trial of a segment may be an item's run.

Changes to tests: New takes the way to the engines as one value; two tests pass it so.

Seen failing on the code before (entrytest, online hooks in place): TestItemThatCrashedAnEngineHoldsUpNoOther crash_test.go:173: the item reached two engines within 486.72µs, want at least 1s It passes now. With the check of the quarantine taken out, TestQuarantinedItemsHoldUpNoOthers and TestItemPausesAfterACrash (controller/jobs) fail.

--- a/controller/jobs/itemstate.go
+++ b/controller/jobs/itemstate.go
@@ -24,6 +24,9 @@
 	savedFailures  int                      // failedAttempts in the stored checkpoint
 	failedAt       map[string]clock.Instant // by engine: when the item was last rejected or interrupted
 
+	gate      blackboard.SegmentGate
+	crashedAt clock.Instant // when an engine last crashed with the item, or 0
+
 	earlierRuns time.Duration // total time of the runs before the current one
 
 	engine    string             // id of the engine where the item runs
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -16,7 +16,6 @@
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
 	"github.com/baobablanding/baobablanding/policy/due"
-	"github.com/baobablanding/baobablanding/relay"
 	"github.com/baobablanding/baobablanding/store"
 )
 
@@ -44,7 +43,7 @@
 	board   *blackboard.EntryBoard
 	store   store.Store
 	ledger  *job.Ledger
-	engines relay.EngineClient
+	engines Engines
 	self    blackboard.Peer
 	log     *log.Logger
 
@@ -60,7 +59,7 @@
 }
 
 // New returns a controller that runs items on engines and owns jobs as self.
-func New(board *blackboard.EntryBoard, s store.Store, engines relay.EngineClient, self blackboard.Peer, logger *log.Logger) *Controller {
+func New(board *blackboard.EntryBoard, s store.Store, engines Engines, self blackboard.Peer, logger *log.Logger) *Controller {
 	return &Controller{
 		board: board, store: s, ledger: job.NewLedger(s), engines: engines, self: self, log: logger,
 		owned: make(map[job.Key]*ownedJob), claiming: make(map[job.Key]bool), missingSince: make(map[job.Key]clock.Instant),
@@ -131,14 +130,14 @@
 	}
 }
 
-// publishDemand publishes how many items wait on this daemon. It counts only those of jobs
-// whose next item can probably finish on time.
+// publishDemand publishes how many items wait on this daemon. It counts only those
+// that may start, of jobs whose next item can probably finish on time.
 func (c *Controller) publishDemand() {
 	waiting := 0
 	now := c.board.StoreNow()
 	for _, o := range c.owned {
 		if len(o.waiting) > 0 && c.dueJob(o.waiting[0]).CanFinishOnTime(now) {
-			waiting += len(o.waiting)
+			waiting += c.countStartable(o)
 		}
 	}
 	if c.board.BatchDemand.Value().WaitingItems != waiting {
--- a/controller/jobs/jobs_test.go
+++ b/controller/jobs/jobs_test.go
@@ -25,7 +25,7 @@
 	board.Roster.Publish(&blackboard.Roster{Self: self, Members: []blackboard.Peer{self}, Loaded: true})
 	rows := &countingStore{Store: storetest.New()}
 	rows.NextFailure = storetest.RejectCalls
-	c := New(board, rows, nil, self, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	c := New(board, rows, Engines{}, self, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 	key := job.Key{Workspace: "w", ID: "j"}
 	jobs := blackboard.NewJobs(map[job.Key]*job.VersionedHead{key: {Head: job.Head{Owner: "gone", Total: 1}, Version: 1}})
 	c.missingSince[key] = clock.Now().Add(-2 * claimDelay)
@@ -62,7 +62,7 @@
 	self := blackboard.Peer{Name: "a", Incarnation: "a1"}
 	board := blackboard.NewEntryBoard()
 	board.Catalog.Publish(catalog.New(catalog.Content{Routes: []*catalog.Route{{Name: "r", MaxAge: time.Minute, MaxAttempts: 3}}}))
-	c := New(board, storetest.New(), nil, self, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	c := New(board, storetest.New(), Engines{Segments: testSegments}, self, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 	key := job.Key{Workspace: "w", ID: "j"}
 	c.takeUp(key, &job.VersionedHead{Head: job.Head{Route: "r", Owner: "a1", Total: 1, Submitted: time.Hour - age}, Version: 1})
 	o := c.owned[key]
@@ -70,6 +70,14 @@
 	return c, o
 }
 
+// testSegments returns the segment of an item with the header "segment".
+func testSegments(header map[string]string) []blackboard.Segment {
+	if header["segment"] == "" {
+		return nil
+	}
+	return []blackboard.Segment{blackboard.Segment(len(header["segment"]))}
+}
+
 // TestAgeOfAJobCountsFromItsSubmission checks that a daemon that takes a job over does not
 // restart its age.
 func TestAgeOfAJobCountsFromItsSubmission(t *testing.T) {
--- a/controller/jobs/ownership.go
+++ b/controller/jobs/ownership.go
@@ -154,6 +154,7 @@
 			continue
 		}
 		state := newItemState(o, i)
+		state.gate.Segments = c.engines.Segments(items[i].Header)
 		if checkpoint, ok := checkpoints[i]; ok {
 			state.restore(checkpoint)
 		}
--- /dev/null
+++ b/controller/jobs/quarantine_test.go
@@ -0,0 +1,119 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/relay"
+)
+
+// silentClient is an engine client whose engines never respond.
+type silentClient struct{}
+
+// Send implements relay.EngineClient.
+func (silentClient) Send(ctx context.Context, _ *relay.EngineRequest) (*relay.Response, error) {
+	<-ctx.Done()
+	return nil, &relay.NoResponseError{Sent: true, Err: errors.New("cancelled")}
+}
+
+// Refuses implements relay.EngineClient.
+func (silentClient) Refuses(context.Context, *blackboard.Engine) bool { return false }
+
+// newSegmentController returns a controller with an engine, and a job of that age whose
+// items wait. Each item has the segment that its number names, or none for 0.
+func newSegmentController(age time.Duration, segments ...int) (*Controller, *ownedJob) {
+	c, o := newTestController(age)
+	c.engines.Client = silentClient{}
+	service := &catalog.Service{Name: "s"}
+	route := &catalog.Route{Name: "r", MaxAge: time.Minute, Split: []catalog.WeightedService{{Service: "s", Weight: 1}}}
+	c.board.Catalog.Publish(catalog.New(catalog.Content{Routes: []*catalog.Route{route}, Services: []*catalog.Service{service}}))
+	c.board.Engines.Publish(blackboard.NewEngines([]*blackboard.Engine{{
+		Engine: &catalog.Engine{ID: "e", Service: "s", Slots: 8}, Load: new(blackboard.EngineLoad),
+	}}))
+	c.board.ConfigRead.Publish(blackboard.ConfigRead{SentAt: clock.Now()})
+	c.board.SyncStoreClock(time.Hour, clock.Now())
+	var items []job.Item
+	for _, s := range segments {
+		items = append(items, job.Item{ID: "i", Header: map[string]string{"segment": "aaaaaaaa"[:s]}})
+	}
+	o.waiting = nil
+	c.itemsLoaded(o, items, nil)
+	return c, o
+}
+
+// quarantine publishes a quarantine of segment 1.
+func quarantine(c *Controller, due clock.Instant, mayTry bool) {
+	c.board.Quarantine.Publish(&blackboard.Quarantine{BySegment: map[blackboard.Segment]*blackboard.Quarantined{
+		1: {TrialDue: due, MayTry: mayTry},
+	}})
+}
+
+// TestQuarantinedItemsHoldUpNoOthers guards against items with a quarantined segment that
+// run, that hold up the items behind them, or that are never given up.
+func TestQuarantinedItemsHoldUpNoOthers(t *testing.T) {
+	c, o := newSegmentController(0, 1, 1, 2, 0)
+	quarantine(c, clock.Now().Add(time.Minute), true)
+	c.startItems(t.Context())
+	c.publishDemand()
+	if len(o.running) != 2 || o.running[2] == nil || o.running[3] == nil {
+		t.Errorf("running items: %v, want those with the indexes 2 and 3", o.running)
+	}
+	if n := c.board.BatchDemand.Value().WaitingItems; n != 0 {
+		t.Errorf("demand of %d items, want none that can't start", n)
+	}
+	if len(o.waiting) != 2 {
+		t.Errorf("%d items wait, want 2", len(o.waiting))
+	}
+	c, o = newSegmentController(time.Minute+5*time.Second, 1)
+	quarantine(c, clock.Now().Add(time.Minute), true)
+	if c.startItems(t.Context()); len(o.finished) != 1 {
+		t.Errorf("%d items were given up, want 1, whose job is too old", len(o.finished))
+	}
+}
+
+// TestOneItemRunsAsTrial guards against several items that run as the trial of one segment.
+func TestOneItemRunsAsTrial(t *testing.T) {
+	for mayTry, want := range map[bool]int{true: 1, false: 0} {
+		c, o := newSegmentController(0, 1, 1, 1)
+		quarantine(c, clock.Now(), mayTry)
+		if c.startItems(t.Context()); len(o.running) != want {
+			t.Errorf("may try = %v: %d items run, want %d", mayTry, len(o.running), want)
+		}
+	}
+}
+
+// TestItemPausesAfterACrash guards against an item that crashes one engine after the other
+// before anything is known of its segments.
+func TestItemPausesAfterACrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		ago                time.Duration
+		sound, quarantined bool
+		waits              bool
+	}{
+		"sound within a second":       {900 * time.Millisecond, true, false, true},
+		"sound after a second":        {1100 * time.Millisecond, true, false, false},
+		"unknown after a second":      {1100 * time.Millisecond, false, false, true},
+		"unknown after two seconds":   {2100 * time.Millisecond, false, false, false},
+		"quarantined after 2 seconds": {2100 * time.Millisecond, true, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			controller, o := newSegmentController(0, 1)
+			o.waiting[0].crashedAt = clock.Now().Add(-c.ago)
+			if c.sound {
+				controller.board.SoundSegments.Record([]blackboard.Segment{1}, clock.Now())
+			}
+			if c.quarantined {
+				quarantine(controller, clock.Now().Add(time.Minute), true)
+			}
+			if controller.startItems(t.Context()); (len(o.running) == 0) != c.waits {
+				t.Errorf("item waits = %v, want %v", len(o.running) == 0, c.waits)
+			}
+		})
+	}
+}
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -38,8 +38,32 @@
 	unprocessable            // no engine can run the request; not tried again
 	notRun                   // rejected, not run
 	interrupted              // the response broke off; the item can continue on another engine
+	crashed                  // the engine crashed before it wrote a response
 )
 
+// itemRun is one run of an item at an engine. It belongs to the goroutine of the run.
+type itemRun struct {
+	*itemState
+	message relay.Message
+	engine  *blackboard.Engine
+	events  int // received in this run
+}
+
+// newRun returns a run of the item at the engine.
+func (s *itemState) newRun(host string, engine *blackboard.Engine) *itemRun {
+	item := s.item()
+	header := make(relay.Header, len(item.Header))
+	for name, value := range item.Header {
+		header[name] = []string{value}
+	}
+	return &itemRun{itemState: s, engine: engine, message: relay.Message{
+		ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body, Segments: s.gate.Segments,
+	}}
+}
+
+// written reports whether the engine has begun to write a response.
+func (r *itemRun) written() bool { return r.events >= relay.WrittenEvents }
+
 // run starts a goroutine that runs the item at the engine. The goroutine posts the
 // outcome even if ctx is cancelled, as the count of running items depends on it.
 func (c *Controller) run(ctx context.Context, s *itemState, route *catalog.Route, engine *blackboard.Engine) {
@@ -49,8 +73,10 @@
 	c.running++
 	engine.Load.Batch.Add(1)
 	cancel := s.cancel
+	r := s.newRun(route.Host, engine)
 	go func() {
-		outcome, err := c.send(ctx, s, route.Host, engine)
+		outcome, err := c.send(ctx, r)
+		outcome = c.checkCrash(ctx, r, outcome, err)
 		engine.Load.Batch.Add(-1)
 		cancel()
 		c.post(context.WithoutCancel(ctx), func() { c.runEnded(s, route, engine, outcome, err) })
@@ -58,19 +84,13 @@
 }
 
 // send sends the item to the engine and collects the events of the response.
-func (c *Controller) send(ctx context.Context, s *itemState, host string, engine *blackboard.Engine) (runOutcome, error) {
-	item := s.item()
-	header := make(relay.Header, len(item.Header))
-	for name, value := range item.Header {
-		header[name] = []string{value}
-	}
+func (c *Controller) send(ctx context.Context, r *itemRun) (runOutcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idle := time.AfterFunc(itemIdleTimeout, cancel)
 	defer idle.Stop()
-	resp, err := c.engines.Send(ctx, &relay.EngineRequest{
-		Message:   relay.Message{ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body},
-		Workspace: s.job.key.Workspace, Engine: engine, AfterEvent: s.lastEvent(),
+	resp, err := c.engines.Client.Send(ctx, &relay.EngineRequest{
+		Message: r.message, Workspace: r.job.key.Workspace, Engine: r.engine, AfterEvent: r.lastEvent(),
 	})
 	if err != nil {
 		var noResponse *relay.NoResponseError
@@ -90,14 +110,14 @@
 	case resp.Class != relay.Succeeded:
 		return interrupted, nil
 	}
-	return s.collect(resp, engine, idle)
+	return c.collect(r, resp, idle)
 }
 
 // collect appends the events of the response to the item's output until the response
 // ends. Data from the engine restarts the idle timer.
-func (s *itemState) collect(resp *relay.Response, engine *blackboard.Engine, idle *time.Timer) (runOutcome, error) {
+func (c *Controller) collect(r *itemRun, resp *relay.Response, idle *time.Timer) (runOutcome, error) {
 	reader := relay.NewEventReader(resp.Body)
-	intervals := relay.IntervalMeter{Health: &engine.Load.Health}
+	intervals := relay.IntervalMeter{Health: &r.engine.Load.Health}
 	for {
 		events, err := reader.Next()
 		if err == io.EOF && len(reader.Rest()) == 0 {
@@ -112,8 +132,18 @@
 		idle.Reset(itemIdleTimeout)
 		intervals.Observe(len(events), clock.Now())
 		for _, e := range events {
-			s.appendEvent(e)
+			r.appendEvent(e)
 		}
+		c.countEvents(r, len(events))
+	}
+}
+
+// countEvents counts events of the run. With the second one, the item's segments are sound.
+func (c *Controller) countEvents(r *itemRun, n int) {
+	before := r.written()
+	r.events += n
+	if !before && r.written() {
+		c.engines.Crashes.RecordWritten(&r.message)
 	}
 }
 
@@ -125,6 +155,9 @@
 	delete(o.running, s.index)
 	s.earlierRuns = s.elapsed()
 	s.cancel = nil
+	if outcome != notRun {
+		s.gate.EndTrial()
+	}
 	if c.owned[o.key] != o {
 		return
 	}
@@ -145,7 +178,10 @@
 			o.finished = append(o.finished, s.result(job.GivenUp))
 			return
 		}
-	case notRun, interrupted:
+	case crashed, notRun, interrupted:
+		if outcome == crashed {
+			s.crashedAt = clock.Now()
+		}
 		s.failedAt[engine.ID] = clock.Now()
 		if !s.cancelled && err != nil {
 			engine.Load.Health.RecordFailure(clock.Now())
--- a/controller/jobs/schedule.go
+++ b/controller/jobs/schedule.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
 	"github.com/baobablanding/baobablanding/policy/due"
@@ -77,8 +78,13 @@
 	}
 	var jobs []*ownedJob
 	for _, o := range c.owned {
-		if len(o.waiting) > 0 && o.head.IsOpen() && o.head.Owner == c.self.Incarnation {
+		if len(o.waiting) == 0 || !o.head.IsOpen() || o.head.Owner != c.self.Incarnation {
+			continue
+		}
+		if c.selectNext(o) {
 			jobs = append(jobs, o)
+		} else {
+			c.routeOf(o) // gives up items that can't start and are too old
 		}
 	}
 	now := c.board.StoreNow()
@@ -116,21 +122,29 @@
 // approximately. A job may be given up late, but not early.
 const ageMargin = time.Second
 
-// startItem starts the job's next item and reports whether it did. It does not if no
-// engine has room. If the route was removed or the job is older than the route's MaxAge,
-// it gives up all waiting items instead.
-func (c *Controller) startItem(ctx context.Context, o *ownedJob) bool {
-	cat := c.board.Catalog.Value()
-	route := cat.RouteByName(o.head.Route)
+// routeOf returns the job's route. If the route was removed or the job is older than the
+// route's MaxAge, it gives up all waiting items and returns nil.
+func (c *Controller) routeOf(o *ownedJob) *catalog.Route {
+	route := c.board.Catalog.Value().RouteByName(o.head.Route)
 	if route == nil {
 		c.giveUpWaiting(o, "the route was removed")
-		return false
+		return nil
 	}
 	if route.MaxAge > 0 && c.board.StoreNow()-o.head.Submitted > route.MaxAge+ageMargin {
 		c.giveUpWaiting(o, "the job is too old")
+		return nil
+	}
+	return route
+}
+
+// startItem starts the job's next item that may start, and reports whether it did. It does
+// not if there is none, or no engine has room, or the job's items are given up.
+func (c *Controller) startItem(ctx context.Context, o *ownedJob) bool {
+	route := c.routeOf(o)
+	if route == nil || !c.selectNext(o) {
 		return false
 	}
-	service := cat.Service(route.PickService(rand.Float64()))
+	service := c.board.Catalog.Value().Service(route.PickService(rand.Float64()))
 	if service == nil {
 		return false
 	}
@@ -143,7 +157,7 @@
 	}
 	query.Tried = s.failedRecently
 	engine := placement.ChooseForBatch(c.board.Engines.Value().OfService(service.Name), &query)
-	if engine == nil {
+	if engine == nil || !s.gate.Enter(c.board.Quarantine.Value(), clock.Now()) {
 		return false
 	}
 	o.waiting = o.waiting[1:]
--- a/controller/jobs/start_test.go
+++ b/controller/jobs/start_test.go
@@ -37,7 +37,7 @@
 		if c.name == "nothing was read yet" {
 			board.ConfigRead.Publish(blackboard.ConfigRead{})
 		}
-		controller := New(board, nil, nil, blackboard.Peer{}, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+		controller := New(board, nil, Engines{}, blackboard.Peer{}, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
 		if got := controller.canStart(); got != c.want {
 			t.Errorf("%s: canStart() = %v", c.name, got)
 		}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -141,7 +141,10 @@
 	reg := newRegistry()
 	registerEntryMetrics(reg, e.board)
 	e.roster = roster.New(e.board, rows, self, e.log)
-	e.jobs = jobs.New(e.board, rows, engines, self, e.log)
+	metrics := relay.NewMetrics(reg)
+	e.jobs = jobs.New(e.board, rows, jobs.Engines{
+		Client: engines, Crashes: relay.NewCrashDetector(e.board, engines, metrics, e.log), Segments: platform.ItemSegments,
+	}, self, e.log)
 	directories := directory.New(e.board, rows, platform.Decoder{}, e.log)
 	loadExchange := loads.New(e.board, socket, e.log)
 	e.heartbeat.run(e.roster.RunHeartbeat)
@@ -153,7 +156,7 @@
 		e.controllers.run(run)
 	}
 	keyValidity := time.Duration(float64(settings.WithdrawnKeyGrace) * keyValidityFraction)
-	onlineServer := relay.NewServer(e.board, engines, settings.DataCentre, keyValidity, relay.NewMetrics(reg), e.log)
+	onlineServer := relay.NewServer(e.board, engines, settings.DataCentre, keyValidity, metrics, e.log)
 	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self)), reg)
 }
 
--- a/entrytest/crash_test.go
+++ b/entrytest/crash_test.go
@@ -94,6 +94,17 @@
 	f.store.PutRow("servers", "", e.id, row)
 }
 
+// spacing returns the shortest time between two of them.
+func (c *crashes) spacing() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	shortest := time.Hour
+	for i := 1; i < len(c.at); i++ {
+		shortest = min(shortest, c.at[i].Sub(c.at[i-1]))
+	}
+	return shortest
+}
+
 // sharesSegment reports whether the prompt has the segment, and not as its last one.
 func sharesSegment(r *http.Request, id string) bool {
 	return strings.Contains(r.Header.Get("Prompt-Prefix"), id+":400,")
@@ -126,3 +137,39 @@
 		}
 	}
 }
+
+// TestItemThatCrashedAnEngineHoldsUpNoOther guards against a batch item that crashes one
+// engine after the other without a pause, and holds up the other items of its job.
+func TestItemThatCrashedAnEngineHoldsUpNoOther(t *testing.T) {
+	const items = 12
+	f := newFleet(t)
+	deadly := new(crashes)
+	f.startCrashingEngines(3, deadly)
+	d := f.start("entry-1")
+	var body []object
+	for i := range items {
+		item := object{"id": fmt.Sprintf("j-%d", i), "path": "/jobs/j", "headers": object{"Prompt-Prefix": prompt("5afe01")}, "body": "", "tokens": 10}
+		if i == 0 {
+			item["headers"] = object{"Prompt-Prefix": prompt("5afe01", deadlySegment)}
+		}
+		body = append(body, item)
+	}
+	data, err := json.Marshal(object{"items": body})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := d.send(t.Context(), t, request{path: "/jobs/j", id: "j", key: key, body: string(data)}); got.status != http.StatusAccepted {
+		t.Fatalf("status %d", got.status)
+	}
+	eventually(t, "the sound items are complete", func() bool {
+		page, _ := d.readResults(t, "j", 0)
+		return len(page.Results) == items-1
+	})
+	time.Sleep(engineDowntime)
+	if n := deadly.since(time.Time{}); n < 2 {
+		t.Fatalf("engines received the item %d times, want it to run again", n)
+	}
+	if s := deadly.spacing(); s < time.Second {
+		t.Errorf("the item reached two engines within %v, want at least 1s", s)
+	}
+}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -16,12 +16,12 @@
 )
 
 const (
+	// WrittenEvents is the number of events after which an engine has begun to write a
+	// stream. It may crash with the first event on its way.
+	WrittenEvents = 2
 	// crashCheckDelay is the time between the loss of a connection to an engine and the
 	// question whether the engine ended. A process may close its listener last.
 	crashCheckDelay = 30 * time.Millisecond
-	// writtenEvents is the number of events after which an engine has begun to write a
-	// stream. It may crash with the first event on its way.
-	writtenEvents = 2
 )
 
 // CrashDetector tells crashes of engines from other lost connections, and reports them to
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -50,7 +50,7 @@
 // countEvents counts events that the attempt received.
 func (r *activeRequest) countEvents(a *attempt, n int) {
 	a.events += n
-	if !a.written && a.events >= writtenEvents {
+	if !a.written && a.events >= WrittenEvents {
 		r.recordWritten(a)
 	}
 }
