--- a/controller/jobs/jobs_test.go
+++ b/controller/jobs/jobs_test.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/relay"
 	"github.com/baobablanding/baobablanding/store"
 	"github.com/baobablanding/baobablanding/store/storetest"
 )
@@ -62,7 +64,9 @@
 	self := blackboard.Peer{Name: "a", Incarnation: "a1"}
 	board := blackboard.NewEntryBoard()
 	board.Catalog.Publish(catalog.New(catalog.Content{Routes: []*catalog.Route{{Name: "r", MaxAge: time.Minute, MaxAttempts: 3}}}))
-	c := New(board, storetest.New(), Engines{Segments: testSegments}, self, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	crashes := relay.NewCrashDetector(board, nil, relay.NewMetrics(prometheus.NewRegistry()), logger)
+	c := New(board, storetest.New(), Engines{Crashes: crashes, Segments: testSegments}, self, logger)
 	key := job.Key{Workspace: "w", ID: "j"}
 	c.takeUp(key, &job.VersionedHead{Head: job.Head{Route: "r", Owner: "a1", Total: 1, Submitted: time.Hour - age}, Version: 1})
 	o := c.owned[key]
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -41,6 +41,9 @@
 	crashed                  // the engine crashed before it wrote a response
 )
 
+// errUnnumberedEvent reports an event whose place in the output is not known.
+var errUnnumberedEvent = errors.New("event of an item has no number")
+
 // itemRun is one run of an item at an engine. It belongs to the goroutine of the run.
 type itemRun struct {
 	*itemState
@@ -113,28 +116,32 @@
 	return c.collect(r, resp, idle)
 }
 
-// collect appends the events of the response to the item's output until the response
-// ends. Data from the engine restarts the idle timer.
+// collect appends the new events of the response to the item's output until the response
+// ends. New events restart the idle timer.
 func (c *Controller) collect(r *itemRun, resp *relay.Response, idle *time.Timer) (runOutcome, error) {
 	reader := relay.NewEventReader(resp.Body)
+	sequence := relay.EventSequence{Last: r.lastEvent()}
 	intervals := relay.IntervalMeter{Health: &r.engine.Load.Health}
 	for {
 		events, err := reader.Next()
-		if err == io.EOF && len(reader.Rest()) == 0 {
-			return completed, nil
-		}
 		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
+			err = sequence.CheckEnd(resp)
+			if err == nil {
+				return completed, nil
+			}
 		}
 		if err != nil {
 			return interrupted, err
 		}
-		idle.Reset(itemIdleTimeout)
-		intervals.Observe(len(events), clock.Now())
-		for _, e := range events {
-			r.appendEvent(e)
+		newEvents, err := r.appendNew(&sequence, events)
+		if err != nil {
+			return interrupted, err
+		}
+		if newEvents > 0 {
+			idle.Reset(itemIdleTimeout)
+			intervals.Observe(newEvents, clock.Now())
+			c.countEvents(r, newEvents)
 		}
-		c.countEvents(r, len(events))
 	}
 }
 
@@ -147,6 +154,32 @@
 	}
 }
 
+// appendNew appends the events that the output lacks and returns their number. It stops with
+// an error at the first event that cannot follow.
+func (s *itemState) appendNew(sequence *relay.EventSequence, events []relay.Event) (newEvents int, err error) {
+	for i := range events {
+		e := &events[i]
+		if e.IsComment {
+			continue
+		}
+		if e.Number < 0 {
+			return newEvents, errUnnumberedEvent
+		}
+		isNew, err := sequence.Accept(e)
+		if err != nil {
+			return newEvents, err
+		}
+		if !isNew {
+			continue
+		}
+		if err := s.appendEvent(*e); err != nil {
+			return newEvents, err
+		}
+		newEvents++
+	}
+	return newEvents, nil
+}
+
 // runEnded records the outcome of an item's run: the item gets a result or waits for an
 // engine again.
 func (c *Controller) runEnded(s *itemState, route *catalog.Route, engine *blackboard.Engine, outcome runOutcome, err error) {
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -81,9 +81,10 @@
 	return unsound
 }
 
-// isConnectionLoss reports whether the engine's end of the connection closed or reset it.
+// isConnectionLoss reports whether the engine's end of the connection closed or reset it, or
+// may have closed it where a response has neither a length nor chunks.
 func isConnectionLoss(err error) bool {
-	for _, loss := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, loss := range []error{io.EOF, io.ErrUnexpectedEOF, errNoNewEvents, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, loss) {
 			return true
 		}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"io"
 
@@ -20,7 +19,7 @@
 // forward passes the engine's response on to the sink. A response that is not a
 // successful stream cannot follow a part of an earlier one.
 func (r *activeRequest) forward(a *attempt, silence *silenceWatch) error {
-	if a.response.IsEventStream && a.response.Class == Succeeded {
+	if a.response.IsEventStream && a.response.Class == Succeeded && !r.unnumbered {
 		return r.forwardEvents(a, silence)
 	}
 	silence.stop()
@@ -107,45 +106,56 @@
 	return nil
 }
 
-// forwardEvents passes complete events on as they arrive, except those that the
-// caller already has from an earlier attempt. A stream that ends within an event is
-// incomplete.
+// forwardEvents passes complete events on as they arrive, except those that the caller
+// already has from an earlier attempt. A stream that ends within an event, or does not go
+// on after the caller's last event, is incomplete.
 func (r *activeRequest) forwardEvents(a *attempt, silence *silenceWatch) error {
 	reader := NewEventReader(a.response.Body)
+	sequence := EventSequence{Last: r.lastEvent}
 	meter := IntervalMeter{Health: &a.engine.Load.Health}
 	for {
 		events, err := reader.Next()
-		if err == io.EOF && len(bytes.TrimSpace(reader.Rest())) == 0 {
-			return r.startResponse(a.response)
-		}
 		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
+			return r.endEvents(a, &sequence)
 		}
 		if err != nil {
 			return a.incomplete(err)
 		}
-		if err := r.startResponse(a.response); err != nil {
+		newEvents, err := r.forwardNewEvents(a, &sequence, events)
+		if err != nil {
 			return err
 		}
-		meter.Observe(len(events), clock.Now())
-		r.countEvents(a, len(events))
-		if err := r.forwardNewEvents(events); err != nil {
-			return err
+		if newEvents > 0 {
+			r.countEvents(a, newEvents)
+			meter.Observe(newEvents, clock.Now())
+			silence.eventArrived(r.lastEvent)
 		}
-		silence.eventArrived(r.lastEvent)
 	}
 }
 
-// forwardNewEvents passes on the events without a number and those numbered above
-// the last one that the caller has.
-func (r *activeRequest) forwardNewEvents(events []Event) error {
-	var data []byte
-	for _, e := range events {
-		if e.Number >= 0 && e.Number <= r.lastEvent {
-			continue
+// endEvents ends a stream that the engine ended after a complete event.
+func (r *activeRequest) endEvents(a *attempt, sequence *EventSequence) error {
+	if err := sequence.CheckEnd(a.response); err != nil {
+		return a.incomplete(err)
+	}
+	return r.startResponse(a.response)
+}
+
+// forwardNewEvents passes on the comments and the events that the caller lacks, up to the
+// first one that cannot follow. It returns the number of these events.
+func (r *activeRequest) forwardNewEvents(a *attempt, sequence *EventSequence, events []Event) (newEvents int, err error) {
+	data, newEvents, invalid := sequence.take(events)
+	if len(data) > 0 {
+		if err := r.startResponse(a.response); err != nil {
+			return 0, err
 		}
-		data = append(data, e.Raw...)
-		r.lastEvent = max(r.lastEvent, e.Number)
 	}
-	return r.write(data)
+	r.lastEvent, r.unnumbered = sequence.Last, r.unnumbered || sequence.HasUnnumbered
+	if err := r.write(data); err != nil {
+		return 0, err
+	}
+	if invalid != nil {
+		return 0, a.incomplete(invalid)
+	}
+	return newEvents, nil
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -61,6 +61,7 @@
 	lastEvent       int64 // number of the last event passed on, or -1
 	gate            blackboard.SegmentGate
 	crashed         bool // an engine crashed with it
+	unnumbered      bool // an event without a number was passed on
 
 	admittedAt               clock.Instant // when the rate admitted it
 	responseStartedAt        clock.Instant
