--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -38,11 +38,35 @@
 	unprocessable            // no engine can run the request; not tried again
 	notRun                   // rejected, not run
 	interrupted              // the response broke off; the item can continue on another engine
+	crashed                  // the engine crashed before it wrote a response
 )
 
 // errUnnumberedEvent reports an event whose place in the output is not known.
 var errUnnumberedEvent = errors.New("event of an item has no number")
 
+// itemRun is one run of an item at an engine. It belongs to the goroutine of the run.
+type itemRun struct {
+	*itemState
+	message relay.Message
+	engine  *blackboard.Engine
+	events  int // received in this run
+}
+
+// newRun returns a run of the item at the engine.
+func (s *itemState) newRun(host string, engine *blackboard.Engine) *itemRun {
+	item := s.item()
+	header := make(relay.Header, len(item.Header))
+	for name, value := range item.Header {
+		header[name] = []string{value}
+	}
+	return &itemRun{itemState: s, engine: engine, message: relay.Message{
+		ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body, Segments: s.gate.Segments,
+	}}
+}
+
+// written reports whether the engine has begun to write a response.
+func (r *itemRun) written() bool { return r.events >= relay.WrittenEvents }
+
 // run starts a goroutine that runs the item at the engine. The goroutine posts the
 // outcome even if ctx is cancelled, as the count of running items depends on it.
 func (c *Controller) run(ctx context.Context, s *itemState, route *catalog.Route, engine *blackboard.Engine) {
@@ -52,8 +76,10 @@
 	c.running++
 	engine.Load.Batch.Add(1)
 	cancel := s.cancel
+	r := s.newRun(route.Host, engine)
 	go func() {
-		outcome, err := c.send(ctx, s, route.Host, engine)
+		outcome, err := c.send(ctx, r)
+		outcome = c.checkCrash(ctx, r, outcome, err)
 		engine.Load.Batch.Add(-1)
 		cancel()
 		c.post(context.WithoutCancel(ctx), func() { c.runEnded(s, route, engine, outcome, err) })
@@ -61,19 +87,13 @@
 }
 
 // send sends the item to the engine and collects the events of the response.
-func (c *Controller) send(ctx context.Context, s *itemState, host string, engine *blackboard.Engine) (runOutcome, error) {
-	item := s.item()
-	header := make(relay.Header, len(item.Header))
-	for name, value := range item.Header {
-		header[name] = []string{value}
-	}
+func (c *Controller) send(ctx context.Context, r *itemRun) (runOutcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idle := time.AfterFunc(itemIdleTimeout, cancel)
 	defer idle.Stop()
-	resp, err := c.engines.Send(ctx, &relay.EngineRequest{
-		Message:   relay.Message{ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body},
-		Workspace: s.job.key.Workspace, Engine: engine, AfterEvent: s.lastEvent(),
+	resp, err := c.engines.Client.Send(ctx, &relay.EngineRequest{
+		Message: r.message, Workspace: r.job.key.Workspace, Engine: r.engine, AfterEvent: r.lastEvent(),
 	})
 	if err != nil {
 		var noResponse *relay.NoResponseError
@@ -83,8 +103,8 @@
 		return interrupted, err
 	}
 	defer resp.Body.Close()
-	if resp.RecordLeaving(engine) {
-		c.logItem(s, engine, nil).Int("status", resp.Status).Msg("engine shuts down and gets no more items")
+	if resp.RecordLeaving(r.engine) {
+		c.logItem(r.itemState, r.engine, nil).Int("status", resp.Status).Msg("engine shuts down and gets no more items")
 	}
 	switch {
 	case resp.NotRun || resp.Misdirected:
@@ -96,15 +116,15 @@
 	case resp.Class != relay.Succeeded:
 		return interrupted, nil
 	}
-	return s.collect(resp, engine, idle)
+	return c.collect(r, resp, idle)
 }
 
 // collect appends the new events of the response to the item's output until the response
 // ends. New events restart the idle timer.
-func (s *itemState) collect(resp *relay.Response, engine *blackboard.Engine, idle *time.Timer) (runOutcome, error) {
+func (c *Controller) collect(r *itemRun, resp *relay.Response, idle *time.Timer) (runOutcome, error) {
 	reader := relay.NewEventReader(resp.Body)
-	sequence := relay.EventSequence{Last: s.lastEvent()}
-	intervals := relay.IntervalMeter{Health: &engine.Load.Health}
+	sequence := relay.EventSequence{Last: r.lastEvent()}
+	intervals := relay.IntervalMeter{Health: &r.engine.Load.Health}
 	for {
 		events, err := reader.Next()
 		if err == io.EOF {
@@ -116,17 +136,27 @@
 		if err != nil {
 			return interrupted, err
 		}
-		newEvents, err := s.appendNew(&sequence, events)
+		newEvents, err := r.appendNew(&sequence, events)
 		if err != nil {
 			return interrupted, err
 		}
 		if newEvents > 0 {
 			idle.Reset(itemIdleTimeout)
 			intervals.Observe(newEvents, clock.Now())
+			c.countEvents(r, newEvents)
 		}
 	}
 }
 
+// countEvents counts events of the run. With the second one, the item's segments are sound.
+func (c *Controller) countEvents(r *itemRun, n int) {
+	before := r.written()
+	r.events += n
+	if !before && r.written() {
+		c.engines.Crashes.RecordWritten(&r.message)
+	}
+}
+
 // appendNew appends the events that the output lacks and returns their number. It stops with
 // an error at the first event that cannot follow.
 func (s *itemState) appendNew(sequence *relay.EventSequence, events []relay.Event) (newEvents int, err error) {
@@ -161,6 +191,9 @@
 	delete(o.running, s.index)
 	s.earlierRuns = s.elapsed()
 	s.cancel = nil
+	if outcome != notRun {
+		s.gate.EndTrial()
+	}
 	if c.owned[o.key] != o {
 		return
 	}
@@ -181,7 +214,10 @@
 			o.finished = append(o.finished, s.result(job.GivenUp))
 			return
 		}
-	case notRun, interrupted:
+	case crashed, notRun, interrupted:
+		if outcome == crashed {
+			s.crashedAt = clock.Now()
+		}
 		s.failedAt[engine.ID] = clock.Now()
 		if !s.cancelled && err != nil {
 			engine.Load.Health.RecordFailure(clock.Now())
