--- a/relay/log.go
+++ b/relay/log.go
@@ -12,7 +12,7 @@
 func (r *activeRequest) recordServed() {
 	r.server.metrics.recordServed(r.admittedAt.Sub(r.Received), r.responseStartedAt.Sub(r.Received))
 	r.server.log.Info().Str("request", r.ID).Str("workspace", r.WorkspaceName()).Str("route", r.Route.Name).
-		Strs("engines", r.tried).Int("engine_online", r.engineOnline).Int("engine_busy", r.engineBusy).
+		Strs("engines", r.triedIDs()).Int("engine_online", r.engineOnline).Int("engine_busy", r.engineBusy).
 		Int("reported_running", r.reportedRunning).Int("reported_waiting", r.reportedWaiting).
 		Dur("admitted", r.admittedAt.Sub(r.Received)).Dur("first_event", r.responseStartedAt.Sub(r.Received)).
 		Dur("took", clock.Since(r.Received)).Int64("config_version", r.Catalog.Version).Int("runs", r.runs).
@@ -26,6 +26,23 @@
 		Int64("config_version", r.Catalog.Version).Int("runs", r.runs)
 }
 
+// recordIncomplete logs and counts a response that ended before it was complete, with what
+// tells the reasons apart: how much time was left, and whether the configuration changed
+// meanwhile.
+func (r *activeRequest) recordIncomplete(err error) {
+	code := result.CodeOf(err)
+	r.server.metrics.incomplete.WithLabelValues(code.String()).Inc()
+	inForce := r.Catalog.Version
+	if cat := r.server.board.Catalog.Value(); cat != nil {
+		inForce = cat.Version
+	}
+	r.server.log.Warn().Str("request", r.ID).Str("route", r.Route.Name).Str("result", code.String()).
+		Strs("engines", r.triedIDs()).Int("runs", r.runs).Int("rejections", r.rejections).Int64("event", r.lastEvent).
+		Dur("took", clock.Since(r.Received)).Dur("time_left", r.deadline.Sub(clock.Now())).
+		Int64("config_version", r.Catalog.Version).Int64("config_in_force", inForce).
+		Msg("response ended before it was complete")
+}
+
 // RecordFailure logs and counts a request that got no complete response.
 func (s *Server) RecordFailure(id string, err error) {
 	e := result.FromError(err)
