Tests: requests cross a change of the configuration until it is in force

The test sent its crossing requests within 0.5 s, before most changes were in force, and they filled the only engine, so that many got 503 for that reason alone. The streams that run at the change are as long as before.

--- a/entrytest/reconfigure_test.go
+++ b/entrytest/reconfigure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -45,9 +47,16 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t)
-			e := f.startEngine("i-1", func(e *engine, w http.ResponseWriter, r *http.Request, _ int) {
-				streamUntil(e, w, r, e.eventCount, 250*time.Millisecond)
-			})
+			var e *engine
+			for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} { // places for all callers
+				e = f.startEngine(id, func(e *engine, w http.ResponseWriter, r *http.Request, _ int) {
+					pause := 250 * time.Millisecond
+					if strings.HasSuffix(r.URL.Path, "/short") {
+						pause = 0
+					}
+					streamUntil(e, w, r, e.eventCount, pause)
+				})
+			}
 			d := f.start("entry-1")
 			var callers sync.WaitGroup
 			for range 3 { // streams that run when the configuration changes
@@ -68,13 +77,20 @@
 			time.Sleep(600 * time.Millisecond)
 			change(f)
 			f.publish()
-			for range 10 { // requests that cross the change
-				callers.Go(func() {
-					if got := d.send(t.Context(), t, request{path: "/once/a", key: key}); got.err != nil {
+			version := strconv.Itoa(f.config["version"].(int))
+			inForce := func() bool { return d.metric(t, "baobab_entry_config_version") == version }
+			for after, begin := 0, time.Now(); after < 5 && time.Since(begin) < waitTimeout; time.Sleep(60 * time.Millisecond) {
+				if inForce() {
+					after++ // some requests more, then it ends
+				}
+				callers.Go(func() { // a request that crosses the change
+					if got := d.send(t.Context(), t, request{path: "/once/short", key: key}); got.err != nil {
 						t.Errorf("a request beside the change was answered %d %v, want a whole answer", got.status, got.err)
 					}
 				})
-				time.Sleep(20 * time.Millisecond)
+			}
+			if !inForce() {
+				t.Errorf("the change was not in force after %v", waitTimeout)
 			}
 			callers.Wait()
 		})
