--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -43,6 +43,9 @@
 	// memoryLimitFraction is the fraction of the VM's memory limit that is set as the
 	// soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.7
+	// bodyMemoryFraction is the fraction of the VM's memory limit that bodies of callers may
+	// take. The daemon itself and the engines' answers need the rest.
+	bodyMemoryFraction = 0.25
 	// entryLeavingDuration is how long an entry daemon that shuts down still accepts
 	// connections, so that the load balancer can notice that it is not ready.
 	entryLeavingDuration = 2800 * time.Millisecond
@@ -139,8 +142,9 @@
 		e.controllers.run(run)
 	}
 	keyValidity := time.Duration(float64(settings.WithdrawnKeyGrace) * keyValidityFraction)
+	maxBodies := int64(float64(settings.MemoryBytes) * bodyMemoryFraction)
 	onlineServer := relay.NewServer(e.board, engines, settings.DataCentre, keyValidity, relay.NewMetrics(reg), e.log)
-	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self)), reg)
+	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self), maxBodies), reg)
 }
 
 // listen opens the listeners for metrics, callers and readiness probes, then sets the
@@ -152,9 +156,10 @@
 	}
 	if e.front, err = httpserve.Listen(settings.CallerAddress, nil, httpserve.Options{
 		ReadHeaderTimeout: entryHeaderTimeout, NotFound: handler, MethodNotAllowed: handler,
-		OnPanic: http.HandlerFunc(platform.PanicResponse),
-		MaxBody: func() int64 { return platform.MaxBodyBytes(e.board.Catalog.Value()) },
-		Ends:    httpserve.NewEndLog(reg, e.log, platform.RequestID),
+		OnPanic:  http.HandlerFunc(platform.PanicResponse),
+		Timeouts: e.timeouts,
+		MaxBody:  func() int64 { return platform.MaxBodyBytes(e.board.Catalog.Value()) },
+		Ends:     httpserve.NewEndLog(reg, e.log, platform.RequestID),
 	}); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -167,9 +172,18 @@
 }
 
 // entryHeaderTimeout bounds the time in which the header of a caller's request must
-// arrive.
+// arrive, unless the configuration allows more.
 const entryHeaderTimeout = 5 * time.Second
 
+// timeouts returns those of the configuration in force.
+func (e *Entry) timeouts() httpserve.Timeouts {
+	c := e.board.Catalog.Value()
+	if c == nil {
+		return httpserve.Timeouts{}
+	}
+	return httpserve.Timeouts{Header: c.Limits.HeaderTimeout, Idle: c.Limits.IdleTimeout}
+}
+
 // isReady reports whether the daemon can serve new callers: it is in the serving phase,
 // knows an engine, and has a configuration whose last read is recent enough.
 func (e *Entry) isReady() bool {
