--- a/controller/quarantine/quarantine.go
+++ b/controller/quarantine/quarantine.go
@@ -157,6 +157,8 @@
 	case quarantine.Extended:
 		c.metrics.extended.Inc()
 		line.Msg("quarantined segment crashed another engine")
+	case quarantine.Acquitted:
+		line.Msg("segment leaves quarantine: another one explains the crashes")
 	case quarantine.Forgotten:
 		line.Msg("segment leaves quarantine: no request had it for long")
 	}
--- a/policy/quarantine/accuse.go
+++ b/policy/quarantine/accuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -47,19 +48,53 @@
 	return bySegment
 }
 
-// isExplained reports whether the crash does not count against the segment: its request also
-// had a segment that is quarantined already, or one with more evidence against it.
-func isExplained(c *blackboard.CrashClaim, s blackboard.Segment, bySegment map[blackboard.Segment]*accusation, verdicts map[blackboard.Segment]*Verdict) bool {
-	for _, other := range c.Segments {
-		if other == s {
-			continue
-		}
-		if verdicts[other] != nil {
-			return true
-		}
-		if a := bySegment[other]; a != nil && a.weight() > bySegment[s].weight() {
-			return true
+// docket is the evidence against all segments, as it is weighed.
+type docket struct {
+	accusations map[blackboard.Segment]*accusation
+	// segments holds the segments of all requests that an engine held when it ended.
+	segments map[engineStart][]blackboard.Segment
+	verdicts map[blackboard.Segment]*Verdict // before the evidence is weighed
+}
+
+// docket returns the evidence. A fleet is given by the number of its daemons.
+func (l *Ledger) docket(daemons int) *docket {
+	d := &docket{accusations: l.accusations(daemons), segments: make(map[engineStart][]blackboard.Segment), verdicts: maps.Clone(l.verdicts)}
+	for i := range l.crashes {
+		start := startOf(&l.crashes[i])
+		d.segments[start] = append(d.segments[start], l.crashes[i].Segments...)
+	}
+	return d
+}
+
+// isExplained reports whether the crash does not count against the segment: the engine also
+// held a request with a segment that is quarantined already, or one with more evidence
+// against it.
+func (d *docket) isExplained(c *blackboard.CrashClaim, s blackboard.Segment) bool {
+	return slices.ContainsFunc(d.segments[startOf(c)], func(other blackboard.Segment) bool {
+		return other != s && (d.verdicts[other] != nil || d.outweighs(other, s))
+	})
+}
+
+// outweighs reports whether there is more evidence against the segment than against another.
+func (d *docket) outweighs(s, other blackboard.Segment) bool {
+	a := d.accusations[s]
+	return a != nil && a.weight() > d.accusations[other].weight()
+}
+
+// isAcquitted reports whether each engine that ended with the segment also held a request with
+// a quarantined segment that has more evidence against it.
+func (d *docket) isAcquitted(s blackboard.Segment) bool {
+	accused := d.accusations[s]
+	if accused == nil {
+		return false
+	}
+	isCause := func(other blackboard.Segment) bool {
+		return other != s && d.verdicts[other] != nil && d.outweighs(other, s)
+	}
+	for _, c := range accused.crashes {
+		if !slices.ContainsFunc(d.segments[startOf(c)], isCause) {
+			return false
 		}
 	}
-	return false
+	return true
 }
--- a/policy/quarantine/guilt.go
+++ b/policy/quarantine/guilt.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// togetherTime is the time in which the ends of several engines of one data centre count
-	// as one: power or a VM was lost.
+	// togetherTime is the time in which engines of one data centre end together if power or a
+	// VM is lost. Their ends then count as one.
 	togetherTime = 500 * time.Millisecond
 	// minIncidents is the number of incidents that convict a segment of several requests;
 	// minIncidentsOfOne holds if all crashes caught the same request.
@@ -91,8 +91,9 @@
 }
 
 // isGuilty reports whether the crashes, in order of time, convict the segment that all of
-// them have. Answered says whether it was answered before.
-func isGuilty(crashes []*blackboard.CrashClaim, answered bool) bool {
+// them have. Answered says whether it was answered before, and othersEnded whether other
+// engines ended with them, see othersEnded.
+func isGuilty(crashes []*blackboard.CrashClaim, answered, othersEnded bool) bool {
 	engines := make(map[engineStart]bool)
 	requests := make(map[uint64]bool)
 	incidents := 0
@@ -104,7 +105,7 @@
 		}
 		engines[startOf(c)] = true
 		began, ok := together[c.EngineDataCentre]
-		if ok && c.EngineDataCentre != "" && c.SeenAt.Sub(began) < togetherTime {
+		if ok && othersEnded && c.EngineDataCentre != "" && c.SeenAt.Sub(began) < togetherTime {
 			continue
 		}
 		together[c.EngineDataCentre] = c.SeenAt
@@ -117,3 +118,24 @@
 	return incidents >= factor*minIncidents && len(requests) >= 2 || incidents >= factor*minIncidentsOfOne ||
 		len(engines) >= factor*minEngines && len(requests) >= factor*minEngines
 }
+
+// othersEnded reports whether engines without the segment, whose crashes are given, ended
+// together with one of these: the segment may not be the cause.
+func (l *Ledger) othersEnded(crashes []*blackboard.CrashClaim) bool {
+	accused := make(map[engineStart]bool)
+	for _, c := range crashes {
+		accused[startOf(c)] = true
+	}
+	for i := range l.crashes {
+		other := &l.crashes[i]
+		if accused[startOf(other)] {
+			continue
+		}
+		for _, c := range crashes {
+			if c.EngineDataCentre == other.EngineDataCentre && c.SeenAt.Sub(other.SeenAt).Abs() < togetherTime {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/policy/quarantine/simulation_test.go
+++ b/policy/quarantine/simulation_test.go
@@ -33,6 +33,7 @@
 	reportSteps   = 6 // simulated steps between two reports
 	engineDown    = 4 * time.Second
 	reportLoss    = 0.05
+	nearShare     = 0.8 // of requests that go to an engine of their data centre
 	maxReportWay  = 40 * time.Millisecond
 	maxFirstEvent = 400 * time.Millisecond
 	deadlyFrom    = 4 * time.Second // no request is deadly before
@@ -249,9 +250,14 @@
 	return 0, false
 }
 
-// send hands a request to a random engine that runs.
+// send hands a request to a random engine that runs, mostly to one of the daemon's data
+// centre.
 func (s *simulation) send(r simRequest) {
 	running := slices.DeleteFunc(slices.Clone(s.engines), func(e *simEngine) bool { return s.now < e.downUntil })
+	near := slices.DeleteFunc(slices.Clone(running), func(e *simEngine) bool { return fmt.Sprint(e.zone) != r.daemon.roster.Self.DataCentre })
+	if len(near) > 0 && s.rng.Float64() < nearShare {
+		running = near
+	}
 	if len(running) == 0 {
 		return
 	}
--- a/policy/quarantine/verdict.go
+++ b/policy/quarantine/verdict.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -59,6 +58,7 @@
 	Quarantined EventKind = iota // a verdict was found
 	Adopted                      // the verdict of other daemons was adopted
 	Extended                     // another crash, or a trial that crashed, extended the verdict
+	Acquitted                    // another segment explains all crashes
 	Forgotten                    // no request with the segment came for long
 )
 
@@ -84,23 +84,33 @@
 	}
 	l.evaluated, l.evaluatedAt = state, now
 	l.expire(now)
-	bySegment := l.accusations(daemons)
-	held := maps.Clone(l.verdicts)
+	d := l.docket(daemons)
 	var events []Event
-	for s, a := range bySegment {
-		if v := held[s]; v != nil {
-			events = append(events, l.extend(v, a.crashes)...)
-			continue
-		}
-		counted := slices.DeleteFunc(slices.Clone(a.counted), func(c *blackboard.CrashClaim) bool { return isExplained(c, s, bySegment, held) })
-		if isGuilty(counted, a.answered) && len(l.verdicts) < maxVerdicts {
-			events = append(events, l.quarantine(s, counted))
-		}
+	for s := range d.accusations {
+		events = append(events, l.weigh(s, d)...)
 	}
-	events = append(events, l.adopt(daemons)...)
+	events = append(events, l.adopt(daemons, d)...)
 	return append(events, l.forget(now)...)
 }
 
+// weigh brings the verdict on one segment up to date.
+func (l *Ledger) weigh(s blackboard.Segment, d *docket) []Event {
+	a, v := d.accusations[s], d.verdicts[s]
+	if v != nil && v.Extensions == 0 && d.isAcquitted(s) {
+		delete(l.verdicts, s)
+		l.version++
+		return []Event{{Kind: Acquitted, Verdict: v}}
+	}
+	if v != nil {
+		return l.extend(v, a.crashes)
+	}
+	counted := slices.DeleteFunc(slices.Clone(a.counted), func(c *blackboard.CrashClaim) bool { return d.isExplained(c, s) })
+	if !isGuilty(counted, a.answered, l.othersEnded(a.crashes)) || len(l.verdicts) >= maxVerdicts {
+		return nil
+	}
+	return []Event{l.quarantine(s, counted)}
+}
+
 // expire drops evidence that is too old.
 func (l *Ledger) expire(now clock.Instant) {
 	before := len(l.crashes) + len(l.claims) + len(l.clears)
@@ -173,9 +183,9 @@
 }
 
 // adopt adds the verdicts that enough other daemons hold, so that a daemon that restarted
-// learns them, except on segments of which it knows an answer. Of different claims the one
-// with the earliest trial counts.
-func (l *Ledger) adopt(daemons int) []Event {
+// learns them, except on segments of which it knows an answer or that it acquits. Of different
+// claims the one with the earliest trial counts.
+func (l *Ledger) adopt(daemons int, d *docket) []Event {
 	needed := minAdoptedClaims
 	if daemons < minVotingDaemons {
 		needed = 1
@@ -189,7 +199,7 @@
 	var events []Event
 	for s, claims := range bySegment {
 		reporters := countedClaims(claims)
-		if len(reporters) < needed || len(l.verdicts) >= maxVerdicts {
+		if len(reporters) < needed || d.isAcquitted(s) || len(l.verdicts) >= maxVerdicts {
 			continue
 		}
 		first := slices.MinFunc(claims, func(a, b blackboard.VerdictClaim) int { return cmp.Compare(a.TrialDue, b.TrialDue) })
