--- a/controller/jobs/itemstate.go
+++ b/controller/jobs/itemstate.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strings"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -32,10 +32,12 @@
 	cancelled bool               // the current run was cancelled by a preemption or a hand-over
 }
 
-// itemOutput is the output of an item so far. It is never modified after it is published.
+// itemOutput is the output of an item so far. It is never modified after it is published:
+// appendEvent writes only behind the end of text.
 type itemOutput struct {
-	events    []string // data of the events; the first entry may hold several, from a checkpoint
-	lastEvent int64    // number of the last event, or -1
+	text        []byte // data of the events, separated by line feeds
+	encodedSize int    // see job.EncodedSize
+	lastEvent   int64  // number of the last event, or -1
 }
 
 // newItemState returns the state of an item that was not run yet.
@@ -47,7 +49,8 @@
 
 // restore sets the state to a checkpoint.
 func (s *itemState) restore(saved job.Checkpoint) {
-	s.output.Store(&itemOutput{events: []string{saved.Output}, lastEvent: saved.LastEvent})
+	text := []byte(saved.Output)
+	s.output.Store(&itemOutput{text: text, encodedSize: job.EncodedSize(text), lastEvent: saved.LastEvent})
 	s.savedEvent, s.failedAttempts, s.earlierRuns = saved.LastEvent, saved.FailedAttempts, saved.RunTime
 	s.savedFailures = saved.FailedAttempts
 }
@@ -58,14 +61,29 @@
 // lastEvent returns the number of the last event, or -1 if there is none.
 func (s *itemState) lastEvent() int64 { return s.output.Load().lastEvent }
 
+// errOutputTooLarge reports an output that does not fit into a result.
+var errOutputTooLarge = errors.New("output of an item is larger than 256 KiB")
+
 // appendEvent appends the event to the output unless its number shows that the output has
-// it. Only the goroutine of the item's run may call it.
-func (s *itemState) appendEvent(e relay.Event) {
+// it. If the output then is too large, appendEvent drops all of it, so that the item runs
+// from its start, and fails. Only the goroutine of the item's run may call it.
+func (s *itemState) appendEvent(e relay.Event) error {
 	old := s.output.Load()
 	if e.Number < 0 || e.Number <= old.lastEvent {
-		return
+		return nil
+	}
+	size := old.encodedSize + job.EncodedSize(e.Data)
+	text := old.text
+	if old.lastEvent >= 0 {
+		text = append(text, '\n')
+		size += job.EncodedSize([]byte("\n"))
+	}
+	if size > job.MaxOutputBytes {
+		s.output.Store(&itemOutput{lastEvent: -1})
+		return errOutputTooLarge
 	}
-	s.output.Store(&itemOutput{events: append(old.events, string(e.Data)), lastEvent: e.Number})
+	s.output.Store(&itemOutput{text: append(text, e.Data...), encodedSize: size, lastEvent: e.Number})
+	return nil
 }
 
 // failedRecently reports whether the engine rejected or interrupted the item in the last
@@ -87,7 +105,7 @@
 func (s *itemState) checkpoint() job.Checkpoint {
 	r := s.output.Load()
 	return job.Checkpoint{
-		Index: s.index, LastEvent: r.lastEvent, Output: strings.Join(r.events, "\n"), FailedAttempts: s.failedAttempts, RunTime: s.elapsed(),
+		Index: s.index, LastEvent: r.lastEvent, Output: string(r.text), FailedAttempts: s.failedAttempts, RunTime: s.elapsed(),
 	}
 }
 
@@ -95,7 +113,7 @@
 func (s *itemState) result(state job.State) job.ItemResult {
 	r := job.Result{ID: s.item().ID, State: state}
 	if state == job.Completed {
-		r.Output = strings.Join(s.output.Load().events, "\n")
+		r.Output = string(s.output.Load().text)
 	}
 	return job.ItemResult{Index: s.index, Tokens: s.item().Tokens, Result: r}
 }
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -15,9 +15,11 @@
 
 // EngineCounts describes one engine as seen by one daemon. It holds, in this order, the
 // number of online requests that the daemon has at the engine, the number of batch items
-// that it has there, the number of requests that the engine reported to it recently, and
-// 1 if the daemon avoids the engine because of its own observations, else 0.
-type EngineCounts [4]int64
+// that it has there, the number of requests that the engine reported to it recently, 1 if
+// the daemon avoids the engine because of its own observations, else 0, and 1 if the engine
+// told the daemon that it leaves, else 0. Builds that know only the first four ignore the
+// fifth; its absence stands for 0.
+type EngineCounts [5]int64
 
 // LoadReport tells other entry daemons how many requests the sender has at each engine, or
 // how many the daemons of its data centre have there together.
@@ -38,8 +40,8 @@
 	// started, by workspace. It holds only workspaces whose number changed recently.
 	Admitted map[string]int64 `json:"admitted,omitempty"`
 	// DataCentre is set if the report is a sum. WaitingItems is then 0, ReadAgeMs the
-	// lowest age, the third of an engine's counts the largest and the fourth the number
-	// of daemons; Admitted counts what the sender knows to have been admitted.
+	// lowest age, the third of an engine's counts the largest and the fourth and fifth
+	// the numbers of daemons; Admitted counts what the sender knows to have been admitted.
 	DataCentre *DataCentreSum `json:"data_centre,omitempty"`
 	// Evidence is what the sender, or daemons of its data centre, know of segments that may
 	// crash engines. Daemons of earlier builds ignore it.
@@ -88,7 +90,8 @@
 }
 
 // DecodeLoadReport returns the report that the datagram carries. It returns an error if
-// the datagram is no JSON or its method does not match its content.
+// the datagram is no JSON, its method does not match its content, or a number in it is
+// impossible.
 func DecodeLoadReport(data []byte) (LoadReport, error) {
 	var n loadNotification
 	if err := json.Unmarshal(data, &n); err != nil {
@@ -97,5 +100,5 @@
 	if n.Method != n.Params.method() {
 		return LoadReport{}, fmt.Errorf("decode load report: method %q does not match the content", n.Method)
 	}
-	return n.Params, nil
+	return n.Params, n.Params.check()
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -89,14 +89,28 @@
 	Misdirected bool
 	// IsEventStream reports whether the body is a stream of events.
 	IsEventStream bool
+	// EndsWithConnection reports whether the body has neither a length nor chunks, so that
+	// it looks complete wherever its connection is closed.
+	EndsWithConnection bool
 	// Running and Waiting are the numbers of requests that the engine had when it
 	// began to respond, or -1 if it did not report them.
 	Running, Waiting int
+	// Leaving reports whether the engine shuts down and takes no new work.
+	Leaving bool
 	// Body is the content. It returns an error other than io.EOF if it ends early.
 	// Whoever sent the request must close it.
 	Body io.ReadCloser
 }
 
+// failed reports whether the engine failed to do what was asked for.
+func (r *Response) failed() bool { return r.Class == Failed || r.Class == Unavailable }
+
+// RecordLeaving records whether the engine said that it shuts down. It reports whether that
+// is news. A response of another engine at the address says nothing about this one.
+func (r *Response) RecordLeaving(engine *blackboard.Engine) bool {
+	return r.Leaving && !r.Misdirected && !engine.Load.Leaving.Swap(true)
+}
+
 // recordLoad records the load that the engine reported with its response.
 func (r *Response) recordLoad(engine *blackboard.Engine) {
 	if r.Running >= 0 {
