--- a/controller/loads/evidence.go
+++ b/controller/loads/evidence.go
@@ -206,6 +206,9 @@
 	}
 	d := evidenceDecoder{sender: sender.Name, now: clock.Now(), reporters: map[string]bool{sender.Name: true}}
 	if r.DataCentre != nil {
+		if r.DataCentre.Name != sender.DataCentre {
+			return
+		}
 		d.sumOf = r.DataCentre.Name
 		for i := range roster.Members {
 			if p := &roster.Members[i]; p.DataCentre == d.sumOf {
--- a/controller/loads/evidence_test.go
+++ b/controller/loads/evidence_test.go
@@ -140,6 +140,10 @@
 			t.Errorf("a data centre's sum was taken as evidence %+v", c)
 		}
 	}
+	d.apply(peer.LoadReport{From: from.Incarnation, Sequence: 3, Evidence: &e, DataCentre: &peer.DataCentreSum{Name: "dc-2", Daemons: 7, Forwarded: true}})
+	if reporters, _ := d.reportersHeard(); len(reporters) > 0 {
+		t.Errorf("a daemon's sum of another data centre was taken as evidence of %v", reporters)
+	}
 	d.apply(peer.LoadReport{From: "stranger/1", Sequence: 1, Evidence: &peer.Evidence{Clears: []peer.SegmentAnswer{{Segment: 1}}}})
 	if _, answered := d.reportersHeard(); len(answered) > 0 {
 		t.Error("a stranger's report was taken as evidence")
