--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -103,6 +103,9 @@
 		return interrupted, err
 	}
 	defer resp.Body.Close()
+	if resp.RecordLeaving(r.engine) {
+		c.logItem(r.itemState, r.engine, nil).Int("status", resp.Status).Msg("engine shuts down and gets no more items")
+	}
 	switch {
 	case resp.NotRun || resp.Misdirected:
 		return notRun, nil
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -3,6 +3,7 @@
 package httpserve
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,8 +23,8 @@
 const goZeroShutdownDelay = 24 * time.Hour
 
 const (
-	maxHeaderBytes = 64 << 10
-	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes     = 64 << 10
+	defaultIdleTimeout = 2 * time.Minute
 )
 
 // init disables go-zero's log and delays its signal handling in every process that
@@ -37,12 +38,27 @@
 type Options struct {
 	// ReadHeaderTimeout limits the time to read a request's header. 0 means no limit.
 	ReadHeaderTimeout time.Duration
+	// IdleTimeout limits the time between a response and the next request of a connection.
+	// 0 means two minutes.
+	IdleTimeout time.Duration
+	// Timeouts returns the current timeouts, which hold where they are longer than
+	// ReadHeaderTimeout and IdleTimeout, also on open connections. It may be nil.
+	Timeouts func() Timeouts
 	// NotFound serves requests whose path matches no route. If it is nil, go-zero
 	// answers them.
 	NotFound http.Handler
 	// MethodNotAllowed serves requests whose path matches a route of another method only.
 	// If it is nil, go-zero answers them.
 	MethodNotAllowed http.Handler
+	// OnPanic responds to a request whose handler panicked before its response had begun.
+	// If it is nil, the response is status 500.
+	OnPanic http.Handler
+	// MaxBody returns the size in bytes of the longest body that is read to its end before a
+	// response that does not need it. If it is nil, such a response is sent at once.
+	MaxBody func() int64
+	// Ends records the requests that end without a complete response. If it is nil, they
+	// are not recorded.
+	Ends *EndLog
 }
 
 // Server serves routes on a listener of its own. Its methods may be called from several
@@ -50,9 +66,16 @@
 type Server struct {
 	http     http.Server
 	listener net.Listener
+	ends     *EndLog
+	maxBody  func() int64
+	timeouts func() Timeouts
 	draining atomic.Bool
 	done     chan struct{} // closed when serve returns
 	err      error         // returned by http.Server.Serve; written before done is closed, read after
+
+	running   atomic.Int64             // requests in the handler
+	closedFor atomic.Pointer[endCause] // why the connections were closed, or nil
+	idle      chan struct{}            // has a value once the last request ended after that
 }
 
 // Listen starts a server for the routes at the address, HOST:PORT. It returns an error
@@ -70,28 +93,45 @@
 	s := &Server{
 		http: http.Server{
 			ReadHeaderTimeout: opts.ReadHeaderTimeout,
-			IdleTimeout:       idleTimeout,
+			IdleTimeout:       cmp.Or(opts.IdleTimeout, defaultIdleTimeout),
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 		listener: listener,
+		ends:     opts.Ends,
+		maxBody:  opts.MaxBody,
 		done:     make(chan struct{}),
+		idle:     make(chan struct{}, 1),
+	}
+	if s.ends != nil {
+		s.http.ErrorLog = s.ends.log.Std("", 0)
+	}
+	if opts.Timeouts != nil {
+		s.listenTo(listener, opts.Timeouts)
 	}
-	s.http.Handler = s.closeWhenDraining(handler)
+	if opts.OnPanic == nil {
+		opts.OnPanic = http.HandlerFunc(internalError)
+	}
+	s.http.Handler = s.closeWhenDraining(s.watch(handler, opts.OnPanic))
 	go s.serve()
 	return s, nil
 }
 
+// listenTo makes the server wait on the listener's connections as long as the timeouts say.
+func (s *Server) listenTo(listener net.Listener, timeouts func() Timeouts) {
+	s.timeouts = timeouts
+	s.listener = &callerListener{TCPListener: listener.(*net.TCPListener), server: s}
+	s.http.ConnState = followConnState
+}
+
 // serve accepts connections until the server is shut down or closed.
 func (s *Server) serve() {
 	defer close(s.done)
 	s.err = s.http.Serve(s.listener)
 }
 
-// newRouter returns a handler that passes requests to the routes, and answers with status
-// 500 if one of them panics.
+// newRouter returns a handler that passes requests to the routes. It does not recover from
+// their panics: go-zero's middleware would complete a response that was given up.
 func newRouter(routes []rest.Route, opts Options) (http.Handler, error) {
-	conf := rest.RestConf{}
-	conf.Middlewares.Recover = true
 	var run []rest.RunOption
 	if opts.NotFound != nil {
 		run = append(run, rest.WithNotFoundHandler(opts.NotFound))
@@ -99,7 +139,7 @@
 	if opts.MethodNotAllowed != nil {
 		run = append(run, rest.WithNotAllowedHandler(opts.MethodNotAllowed))
 	}
-	server, err := rest.NewServer(conf, run...)
+	server, err := rest.NewServer(rest.RestConf{}, run...)
 	if err != nil {
 		return nil, fmt.Errorf("set up http server: %w", err)
 	}
@@ -138,7 +178,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.http.Shutdown(ctx)
 	if err != nil {
-		s.http.Close()
+		s.closeFor(endStopTimeout)
 	}
 	<-s.done
 	if !errors.Is(s.err, http.ErrServerClosed) {
@@ -147,8 +187,40 @@
 	return err
 }
 
-// Close closes the listener and all connections without waiting for running requests.
+// Close closes the listener and all connections without waiting for running requests to
+// complete.
 func (s *Server) Close() {
-	s.http.Close()
+	s.closeFor(endClosed)
 	<-s.done
 }
+
+// handlerEndTimeout bounds the wait for handlers whose connections were closed, so that their
+// ends are recorded.
+const handlerEndTimeout = 200 * time.Millisecond
+
+// closeFor closes the listener and all connections, and waits until the handlers have ended,
+// at most handlerEndTimeout.
+func (s *Server) closeFor(cause endCause) {
+	s.closedFor.CompareAndSwap(nil, &cause)
+	s.http.Close()
+	timeout := time.NewTimer(handlerEndTimeout)
+	defer timeout.Stop()
+	for s.running.Load() > 0 {
+		select {
+		case <-s.idle:
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
+// requestEnded counts a request less, and wakes closeFor after the last one.
+func (s *Server) requestEnded() {
+	if s.running.Add(-1) > 0 || s.closedFor.Load() == nil {
+		return
+	}
+	select {
+	case s.idle <- struct{}{}:
+	default:
+	}
+}
