--- a/blackboard/trial.go
+++ b/blackboard/trial.go
@@ -6,11 +6,6 @@
 	"github.com/baobablanding/baobablanding/clock"
 )
 
-// canTakeTrial reports whether TakeTrial would now succeed.
-func (q *Quarantined) canTakeTrial(now clock.Instant) bool {
-	return q.MayTry && now >= q.TrialDue && !q.trialTaken.Load()
-}
-
 // SegmentGate keeps a request or batch item from engines while one of its segments is
 // quarantined, unless it runs as the trial of that segment. It must not be used by several
 // goroutines at once.
@@ -24,7 +19,7 @@
 // trial of the segment that blocks it.
 func (g *SegmentGate) Blocked(quarantine *Quarantine, now clock.Instant) (wait time.Duration, blocked bool) {
 	q, wait := quarantine.Blocked(g.Segments, now)
-	return wait, q != nil && q != g.trial && !q.canTakeTrial(now)
+	return wait, q != nil && q != g.trial && !q.isTrial(now)
 }
 
 // Enter reports whether the request may be sent to an engine now, for which it takes the
