--- a/controller/jobs/run_test.go
+++ b/controller/jobs/run_test.go
@@ -24,6 +24,8 @@
 	return &response, nil
 }
 
+func (oneResponse) Refuses(context.Context, *blackboard.Engine) bool { return false }
+
 type cancelledBody struct {
 	io.Reader
 	ctx context.Context
@@ -59,7 +61,7 @@
 func runItem(t *testing.T, known int, response relay.Response) (runOutcome, string, error) {
 	t.Helper()
 	c, o := newTestController(0)
-	c.engines = oneResponse{response}
+	c.engines.Client = oneResponse{response}
 	s := o.waiting[0]
 	for n := 1; n <= known; n++ {
 		if err := s.appendEvent(relay.Event{Number: int64(n), Data: fmt.Appendf(nil, "event %d", n)}); err != nil {
@@ -67,7 +69,7 @@
 		}
 	}
 	engine := &blackboard.Engine{Engine: &catalog.Engine{ID: "e", Slots: 8}, Load: new(blackboard.EngineLoad)}
-	outcome, err := c.send(t.Context(), s, "h", engine)
+	outcome, err := c.send(t.Context(), s.newRun("h", engine))
 	return outcome, s.result(job.Completed).Result.Output, err
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -21,6 +21,7 @@
 	"github.com/baobablanding/baobablanding/controller/directory"
 	"github.com/baobablanding/baobablanding/controller/jobs"
 	"github.com/baobablanding/baobablanding/controller/loads"
+	"github.com/baobablanding/baobablanding/controller/quarantine"
 	"github.com/baobablanding/baobablanding/controller/rates"
 	"github.com/baobablanding/baobablanding/controller/roster"
 	"github.com/baobablanding/baobablanding/httpserve"
@@ -130,20 +131,24 @@
 	reg := newRegistry()
 	registerEntryMetrics(reg, e.board)
 	e.roster = roster.New(e.board, rows, self, e.log)
-	e.jobs = jobs.New(e.board, rows, engines, self, e.log)
+	metrics := relay.NewMetrics(reg)
+	e.jobs = jobs.New(e.board, rows, jobs.Engines{
+		Client: engines, Crashes: relay.NewCrashDetector(e.board, engines, metrics, e.log), Segments: platform.ItemSegments,
+	}, self, e.log)
 	directories := directory.New(e.board, rows, platform.Decoder{}, e.log)
 	loadExchange := loads.New(e.board, socket, e.log)
 	e.heartbeat.run(e.roster.RunHeartbeat)
 	for _, run := range []func(context.Context){
 		directories.RunOperators, directories.RunEngines, e.roster.RunObserver,
 		loadExchange.RunReceiver, loadExchange.RunSender,
+		quarantine.New(e.board, quarantine.NewMetrics(reg, e.board), e.log).Run,
 		rates.New(e.board, rows, e.log).Run, e.jobs.RunFollower, e.jobs.Run,
 	} {
 		e.controllers.run(run)
 	}
 	keyValidity := time.Duration(float64(settings.WithdrawnKeyGrace) * keyValidityFraction)
 	maxBodies := int64(float64(settings.MemoryBytes) * bodyMemoryFraction)
-	onlineServer := relay.NewServer(e.board, engines, settings.DataCentre, keyValidity, relay.NewMetrics(reg), e.log)
+	onlineServer := relay.NewServer(e.board, engines, settings.DataCentre, keyValidity, metrics, e.log)
 	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self), maxBodies), reg)
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return a.incomplete(err)
 	}
+	if a.response.Class == Succeeded {
+		r.recordWritten(a)
+	}
 	if err := r.startResponse(a.response); err != nil {
 		return err
 	}
@@ -123,6 +126,7 @@
 			return err
 		}
 		if newEvents > 0 {
+			r.countEvents(a, newEvents)
 			meter.Observe(newEvents, clock.Now())
 			silence.eventArrived(r.lastEvent)
 		}
