A request whose rate the configuration removed meanwhile is served

Callers that sent a body while the configuration removed their workspace's rate got 503 (starting, 3017) after 120 ms.

Cause: the request kept the workspace of the configuration by which it was identified and waited for a limiter that the newer one has dropped. Its rate is now taken from the configuration in force. Ruled out: the limiter that is replaced while a request waits (TestChangeOfRateCutsNoWaitingRequest passes before and after).

Result: TestRequestIsServedAfterItsRateWasRemoved before: takeToken: starting (3017), want no error; it passes, as do the tests of configuration changes in entrytest.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -114,7 +115,10 @@
 // for tokens that the daemon is getting from the store, and for the limiter of a
 // workspace that is new in the configuration.
 func (s *Server) takeToken(ctx context.Context, w *catalog.Workspace) error {
-	if w == nil || w.Rate <= 0 {
+	if w == nil {
+		return nil
+	}
+	if w = s.inForce(w); w.Rate <= 0 {
 		return nil
 	}
 	limiter := s.board.RateLimiters.Value().ByWorkspace[w.Name]
@@ -131,6 +135,15 @@
 	return waitForToken(ctx, limiter, w)
 }
 
+// inForce returns the workspace as the configuration in force has it, which may be newer than
+// the one by which the request was identified, or w itself if that has none of the name.
+func (s *Server) inForce(w *catalog.Workspace) *catalog.Workspace {
+	if cat := s.board.Catalog.Value(); cat != nil {
+		return cmp.Or(cat.Workspace(w.Name), w)
+	}
+	return w
+}
+
 // waitForToken takes a token from the limiter as soon as its grant has one. It fails
 // when the shared bucket is known to be empty or ctx is done.
 func waitForToken(ctx context.Context, limiter *blackboard.RateLimiter, w *catalog.Workspace) error {
--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -47,3 +47,13 @@
 		t.Errorf("takeToken failed after %v, want at most 5 times maxTokenWait", took)
 	}
 }
+
+// TestRequestIsServedAfterItsRateWasRemoved guards against requests that are refused because
+// the configuration removed their workspace's rate while their body arrived.
+func TestRequestIsServedAfterItsRateWasRemoved(t *testing.T) {
+	s, board := newServer()
+	board.Catalog.Publish(catalog.New(catalog.Content{Workspaces: []*catalog.Workspace{{Name: "w"}}}))
+	if err := s.takeToken(t.Context(), &catalog.Workspace{Name: "w", Rate: 10, Burst: 10}); err != nil {
+		t.Errorf("takeToken: %v, want no error without a rate in force", err)
+	}
+}
