--- a/blackboard/quarantine.go
+++ b/blackboard/quarantine.go
@@ -47,18 +47,31 @@
 
 // TakeTrial reports whether the caller may run the trial. Only one caller gets it.
 func (q *Quarantined) TakeTrial(now clock.Instant) bool {
-	return q.MayTry && now >= q.TrialDue && q.trialTaken.CompareAndSwap(false, true)
+	return q.isTrial(now) && q.trialTaken.CompareAndSwap(false, true)
 }
 
-// Blocked returns the first of the segments that is quarantined, with the time until its
-// next trial, or false if none is.
+// TrialTaken reports whether this daemon has used its trial.
+func (q *Quarantined) TrialTaken() bool { return q.trialTaken.Load() }
+
+// Blocked returns the one of the segments that is quarantined and whose trial is due last,
+// with the time until then, or nil if none is. A request with several of them is thus no
+// trial before the last one is due.
 func (q *Quarantine) Blocked(segments []Segment, now clock.Instant) (blocked *Quarantined, wait time.Duration) {
 	for _, s := range segments {
-		if b := q.BySegment[s]; b != nil {
-			return b, max(b.TrialDue.Sub(now), 0)
+		b := q.BySegment[s]
+		if b != nil && (blocked == nil || !b.isTrial(now) || blocked.isTrial(now) && b.TrialDue > blocked.TrialDue) {
+			blocked = b
 		}
 	}
-	return nil, 0
+	if blocked == nil {
+		return nil, 0
+	}
+	return blocked, max(blocked.TrialDue.Sub(now), 0)
+}
+
+// isTrial reports whether a request with the segment would be this daemon's trial.
+func (q *Quarantined) isTrial(now clock.Instant) bool {
+	return q.MayTry && now >= q.TrialDue && !q.trialTaken.Load()
 }
 
 // CrashQueue passes crashes from requests to the controller that judges them. It drops
@@ -118,6 +131,17 @@
 // IsSound reports whether the segment was recorded lately. It may miss one that was
 // recorded.
 func (s *SoundSegments) IsSound(segment Segment, now clock.Instant) bool {
+	at, ok := s.AnsweredAt(segment)
+	return ok && now.Sub(at) < soundValidity
+}
+
+// AnsweredAt returns when the segment was last recorded, or false if it was not. It may miss
+// one that was recorded.
+func (s *SoundSegments) AnsweredAt(segment Segment) (at clock.Instant, ok bool) {
 	p := &s.places[uint64(segment)%soundPlaces]
-	return p.segment.Load() == uint64(segment) && now.Sub(clock.Instant(p.at.Load())) < soundValidity
+	if p.segment.Load() != uint64(segment) {
+		return 0, false
+	}
+	at = clock.Instant(p.at.Load())
+	return at, at != 0 && p.segment.Load() == uint64(segment) // a record of another segment changes this first
 }
