A watched response can be taken over with its connection

The stand-ins lost no response any more: dropConnection could not hijack the connection of a watched response, and go-zero's writer then answered 404. So tests of lost answers tested nothing or failed.

Change: the writer implements http.Hijacker.

--- a/httpserve/response.go
+++ b/httpserve/response.go
@@ -1,6 +1,8 @@
 package httpserve
 
 import (
+	"bufio"
+	"net"
 	"net/http"
 	"time"
 )
@@ -54,6 +56,12 @@
 	return err
 }
 
+// Hijack implements http.Hijacker, which go-zero requires of a writer whose connection a
+// handler takes over.
+func (w *response) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	return http.NewResponseController(w.ResponseWriter).Hijack()
+}
+
 // Unwrap returns the writer of net/http for http.ResponseController.
 func (w *response) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
--- a/httpserve/server_test.go
+++ b/httpserve/server_test.go
@@ -89,3 +89,21 @@
 		}
 	}
 }
+
+// TestHandlerCanDropItsConnection guards against a handler that cannot take over its
+// connection, so that a response which it means to lose reaches the caller.
+func TestHandlerCanDropItsConnection(t *testing.T) {
+	server := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		conn.Close()
+	}, httpserve.Options{})
+	for _, path := range paths {
+		if status, body, err := get(t, server, path); err == nil || status != 0 {
+			t.Errorf("%s: got %d %q, want no response", path, status, body)
+		}
+	}
+}
