Events of one engine do not follow a body of another

Callers of a resumable stream could get, as a complete success, 400 KiB of a body that is no stream and broke off, with another engine's events appended (MIXED).

Cause: mayRunAgain asked for the kind of the route only; such a body may be passed on in part too. Now no engine goes on after a part of such a body.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -144,8 +144,8 @@
 	if r.responseStarted && r.Route.Kind != catalog.KindStreaming {
 		return false // only a stream of events can go on after a part of it
 	}
-	if r.unnumbered {
-		return false // no engine can be told after which event to go on
+	if r.unnumbered || r.bodyStarted {
+		return false // no engine can be told where to go on
 	}
 	return r.Route.CanRepeat() && r.runs < r.Route.MaxAttempts
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -54,6 +54,7 @@
 	if a.response.Class == Succeeded {
 		r.recordWritten(a)
 	}
+	r.bodyStarted = true
 	if err := r.startResponse(a.response); err != nil {
 		return err
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -62,6 +62,7 @@
 	gate            blackboard.SegmentGate
 	crashed         bool // an engine crashed with it
 	unnumbered      bool // an event without a number was passed on
+	bodyStarted     bool // a part of a body that is no stream was passed on
 
 	admittedAt               clock.Instant // when the rate admitted it
 	responseStartedAt        clock.Instant
