The successor of a silent engine keeps the stream, and a search costs no stream

Callers saw streams cut with seconds left although an engine could still go on.

Change: the attempt at the successor becomes the request's own when the silent one ends, with its send still under way, and is itself watched and kept. One time of 0.3 s counts from the first engine that has the request and starts anew only after a rejection. Ejected engines are no successors. Rejections of a waiting request pause it up to 0.2 s, and engines are listed once.

Left: with two attempts allowed and a second engine that never answers, the stream ends at its deadline.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -19,6 +19,8 @@
 	// placeInterval is the time after which a request that found no engine with a place
 	// looks again.
 	placeInterval = 50 * time.Millisecond
+	// maxPause is the longest pause after a rejection.
+	maxPause = 200 * time.Millisecond
 	// rejectedAvoidance and failedAvoidance are how long a request avoids an engine that
 	// rejected it, or failed it.
 	rejectedAvoidance = 200 * time.Millisecond
@@ -30,32 +32,58 @@
 	engine   *blackboard.Engine
 	ctx      context.Context
 	cancel   context.CancelFunc
-	response *Response // nil until the engine begins to respond
-	cause    error     // why it failed, or nil
-	events   int       // received so far
-	written  bool      // the engine wrote a response to the request
+	sent     chan sendResult // has what came of a send in the background; nil without one
+	response *Response       // nil until the engine begins to respond
+	cause    error           // why it failed, or nil
+	events   int             // received so far
+	written  bool            // the engine wrote a response to the request
 }
 
 // newAttempt returns an attempt at the engine that is not sent yet. It counts as a request
 // at the engine until end is called.
 func (r *activeRequest) newAttempt(ctx context.Context, engine *blackboard.Engine) *attempt {
 	r.engineOnline, r.engineBusy = engine.OnlineRequestCount(), engine.RequestCount()
-	r.tried = append(r.tried, triedEngine{id: engine.ID, avoidUntil: math.MaxInt64})
+	r.markTried(engine.ID)
 	engine.Load.Online.Add(1)
 	a := &attempt{engine: engine}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	return a
 }
 
+// sendResult is what came of sending an attempt.
+type sendResult struct {
+	response *Response
+	err      error
+}
+
+// start sends the attempt in the background.
+func (r *activeRequest) start(a *attempt) {
+	a.sent = make(chan sendResult, 1)
+	req := r.engineRequest(a.engine)
+	go func() {
+		response, err := r.server.engines.Send(a.ctx, req)
+		a.sent <- sendResult{response, err}
+	}()
+}
+
 // end cancels the attempt, which closes its connection.
 func (a *attempt) end() {
 	a.cancel()
 	if a.response != nil {
 		a.response.Body.Close()
+	} else if a.sent != nil {
+		go closeLate(a.sent)
 	}
 	a.engine.Load.Online.Add(-1)
 }
 
+// closeLate closes a response that comes after its attempt was cancelled.
+func closeLate(sent <-chan sendResult) {
+	if late := <-sent; late.response != nil {
+		late.response.Body.Close()
+	}
+}
+
 // drop ends the attempt. It does nothing if there is none.
 func (a *attempt) drop() {
 	if a != nil {
@@ -70,6 +98,12 @@
 	avoidUntil clock.Instant
 }
 
+// markTried notes that the engine gets an attempt, once for each engine.
+func (r *activeRequest) markTried(id string) {
+	r.tried = slices.DeleteFunc(r.tried, func(t triedEngine) bool { return t.id == id })
+	r.tried = append(r.tried, triedEngine{id: id, avoidUntil: math.MaxInt64})
+}
+
 // avoid lets the request avoid an engine that it tried for d.
 func (r *activeRequest) avoid(e *blackboard.Engine, d time.Duration) {
 	until := clock.Now().Add(d)
@@ -125,10 +159,10 @@
 }
 
 // pauseAfterRejections pauses a request that more than maxRejections engines rejected, so
-// that it does not ask one after the other without end.
+// that it does not ask one after the other without end. The pause grows up to maxPause.
 func (r *activeRequest) pauseAfterRejections(ctx context.Context) {
-	if r.rejections > maxRejections {
-		timer.Sleep(ctx, placeInterval)
+	if over := r.rejections - maxRejections; over > 0 {
+		timer.Sleep(ctx, min(time.Duration(over)*placeInterval, maxPause))
 	}
 }
 
@@ -278,10 +312,20 @@
 	return nil
 }
 
-// send sends the attempt and waits until the engine begins to respond. It fails if the
-// engine does not, or rejects the request.
+// send sends the attempt, unless it was started before, and waits until the engine begins to
+// respond. It fails if the engine does not, or rejects the request.
 func (r *activeRequest) send(a *attempt) error {
+	if a.sent != nil {
+		return r.received(a, <-a.sent)
+	}
 	response, err := r.server.engines.Send(a.ctx, r.engineRequest(a.engine))
+	return r.received(a, sendResult{response, err})
+}
+
+// received records what came of sending the attempt. It fails as send does.
+func (r *activeRequest) received(a *attempt, sent sendResult) error {
+	a.sent = nil
+	response, err := sent.response, sent.err
 	if err != nil {
 		a.cause = err
 		return r.noResponse(err)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -129,7 +129,7 @@
 		if newEvents > 0 {
 			r.countEvents(a, newEvents)
 			meter.Observe(newEvents, clock.Now())
-			silence.eventArrived(r.lastEvent)
+			silence.eventArrived(r)
 		}
 	}
 }
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -12,7 +12,8 @@
 )
 
 // handOverTime is how long a silent engine keeps its stream after another engine got the
-// request and did not reject it. An engine that rejects does so at once.
+// request and did not reject it. An engine that rejects does so at once; one that does not
+// keeps the request from then on, whenever it begins to respond.
 const handOverTime = 300 * time.Millisecond
 
 // States of a successorSearch.
@@ -31,6 +32,7 @@
 	ctx     context.Context // of the attempts
 	cancel  context.CancelFunc
 	state   atomic.Int32
+	timer   *time.Timer   // of the hand-over; nil while no engine has the request
 	done    chan struct{} // closed when the search has ended
 	found   *attempt      // valid once done is closed; nil if the search was withdrawn
 }
@@ -43,7 +45,8 @@
 }
 
 // run looks for an engine until one takes the stream over, no further attempt is allowed,
-// or the search is withdrawn.
+// or the search is withdrawn. It leaves out ejected engines, since the silent one may be
+// better than these.
 func (s *successorSearch) run() {
 	defer close(s.done)
 	for s.ctx.Err() == nil && s.request.mayRunAgain() {
@@ -51,7 +54,7 @@
 		if err != nil {
 			return
 		}
-		if engine == nil {
+		if engine == nil || engine.Load.Health.IsEjected(clock.Now()) {
 			timer.Sleep(s.ctx, placeInterval)
 			continue
 		}
@@ -62,36 +65,60 @@
 }
 
 // try sends the request to the engine and returns the attempt if the engine takes the
-// stream over, else nil.
+// stream over, else nil. The response may not have begun then.
 func (s *successorSearch) try(engine *blackboard.Engine) *attempt {
 	a := s.request.newAttempt(s.ctx, engine)
-	handOver := time.AfterFunc(handOverTime, func() { s.handOver() })
-	defer handOver.Stop()
-	limit := time.AfterFunc(firstEventTimeout, a.cancel)
-	err := s.request.send(a)
-	inTime := limit.Stop()
-	cancelled := a.ctx.Err() != nil
-	if err == nil && inTime && a.response.IsEventStream && a.response.Class == Succeeded && s.handOver() {
+	s.request.start(a)
+	if s.timer == nil {
+		s.timer = time.NewTimer(handOverTime)
+	}
+	select {
+	case sent := <-a.sent:
+		return s.answered(a, sent)
+	case <-s.timer.C:
+		if s.handOver() {
+			return a
+		}
+	case <-s.ctx.Done():
+	}
+	a.end()
+	s.request.runs++ // withdrawn, and may have run
+	return nil
+}
+
+// answered returns the attempt if its engine goes on with the stream. Otherwise it ends the
+// attempt, records what it shows and returns nil.
+func (s *successorSearch) answered(a *attempt, sent sendResult) *attempt {
+	err := s.request.received(a, sent)
+	if err == nil && a.response.IsEventStream && a.response.Class == Succeeded && s.handOver() {
 		return a
 	}
+	cancelled := a.ctx.Err() != nil
 	a.end()
 	if err == nil && a.response.failed() {
-		err = result.New(result.UpstreamFailed, result.Answered) // recorded by send
+		err = result.New(result.UpstreamFailed, result.Answered) // recorded by received
 	} else if err == nil {
 		err = a.incomplete(errNoStream)
 	}
-	if s.ctx.Err() == nil {
-		s.request.recordEngineFailure(a, err)
-	}
-	s.request.avoidAfter(engine, err)
+	s.recordFailure(a, err, cancelled)
+	return nil
+}
+
+// recordFailure records an attempt that failed with err, and lets the next one wait if too many
+// engines rejected the request.
+func (s *successorSearch) recordFailure(a *attempt, err error, cancelled bool) {
 	if !cancelled {
+		s.request.recordEngineFailure(a, err)
 		err = s.request.checkCrash(s.ctx, a, err)
 	}
-	if result.FromError(err).Verdict == result.NotRun {
-		s.request.rejections++
-		s.request.pauseAfterRejections(s.ctx)
+	s.request.avoidAfter(a.engine, err)
+	if result.FromError(err).Verdict != result.NotRun {
+		return
 	}
-	return nil
+	s.timer.Stop()
+	s.timer = nil // no engine has the request
+	s.request.rejections++
+	s.request.pauseAfterRejections(s.ctx)
 }
 
 // handOver cancels the attempt at the silent engine. It reports false if the search was
@@ -122,13 +149,13 @@
 
 // startSearch starts a search for another engine, unless the watch has stopped.
 func (w *silenceWatch) startSearch(ctx context.Context, fork *activeRequest, a *attempt) {
-	if !fork.mayRunAgain() {
+	if !fork.mayRunAgain() || w.unnumbered.Load() {
 		return
 	}
 	fork.lastEvent = w.lastEvent.Load()
 	search := fork.newSearch(ctx, a)
 	w.search.Store(search)
-	if w.stopped.Load() { // successor may not have seen the search
+	if w.stopped.Load() || w.eventJustArrived() { // neither may have seen the search
 		search.withdraw()
 	}
 	go search.run()
