An item whose engine needs long to its first event completes

Callers of batch jobs saw an item that is never listed: its engine, sound, needs more than 1.5 s to the first event, each run is cancelled then, and the item begins anew without end.

The time now doubles with each run in a row that had no event in time, up to 12 s. Ruled out: no limit before the first event (an engine that went dark would hold its items).

Result: TestItemWithASlowStartCompletes before: timed out after 10s while waiting: the item is done. It passes in 4 s; the tests of controller/jobs pass unchanged.

--- a/controller/jobs/itemstate.go
+++ b/controller/jobs/itemstate.go
@@ -21,6 +21,7 @@
 	output         atomic.Pointer[itemOutput] // replaced by the goroutine of the item's run
 	savedEvent     int64                      // number of the last event in the stored checkpoint, or -1
 	failedAttempts int
+	emptyRuns      int                      // runs in a row that ended because their first event did not come in time
 	savedFailures  int                      // failedAttempts in the stored checkpoint
 	failedAt       map[string]clock.Instant // by engine: when the item was last rejected or interrupted
 
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -17,8 +17,11 @@
 
 const (
 	// itemIdleTimeout is how long an engine may send no data of an item. After that, the
-	// run is cancelled and the item continues on another engine.
-	itemIdleTimeout = 1500 * time.Millisecond
+	// run is cancelled and the item continues on another engine. The time doubles with each
+	// run in a row that had no event, up to maxIdleDoublings times: an engine may need long
+	// to the first one.
+	itemIdleTimeout  = 1500 * time.Millisecond
+	maxIdleDoublings = 3
 	// itemMethod is the HTTP method of an item's request.
 	itemMethod = "POST"
 )
@@ -50,6 +53,8 @@
 	message relay.Message
 	engine  *blackboard.Engine
 	events  int // received in this run
+
+	firstEventTimeout time.Duration
 }
 
 // newRun returns a run of the item at the engine.
@@ -59,7 +64,8 @@
 	for name, value := range item.Header {
 		header[name] = []string{value}
 	}
-	return &itemRun{itemState: s, engine: engine, message: relay.Message{
+	timeout := itemIdleTimeout << min(s.emptyRuns, maxIdleDoublings)
+	return &itemRun{itemState: s, engine: engine, firstEventTimeout: timeout, message: relay.Message{
 		ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body, Segments: s.gate.Segments,
 	}}
 }
@@ -82,15 +88,29 @@
 		outcome = c.checkCrash(ctx, r, outcome, err)
 		engine.Load.Batch.Add(-1)
 		cancel()
-		c.post(context.WithoutCancel(ctx), func() { c.runEnded(s, route, engine, outcome, err) })
+		c.post(context.WithoutCancel(ctx), func() {
+			r.countEmptyRun(outcome)
+			c.runEnded(s, route, engine, outcome, err)
+		})
 	}()
 }
 
+// countEmptyRun counts the runs in a row that ended because their first event did not come in
+// time.
+func (r *itemRun) countEmptyRun(outcome runOutcome) {
+	switch {
+	case r.events > 0:
+		r.emptyRuns = 0
+	case outcome == interrupted && !r.cancelled && clock.Since(r.startedAt) >= r.firstEventTimeout:
+		r.emptyRuns++
+	}
+}
+
 // send sends the item to the engine and collects the events of the response.
 func (c *Controller) send(ctx context.Context, r *itemRun) (runOutcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	idle := time.AfterFunc(itemIdleTimeout, cancel)
+	idle := time.AfterFunc(r.firstEventTimeout, cancel)
 	defer idle.Stop()
 	resp, err := c.engines.Client.Send(ctx, &relay.EngineRequest{
 		Message: r.message, Workspace: r.job.key.Workspace, Engine: r.engine, AfterEvent: r.lastEvent(),
--- a/entrytest/jobs_test.go
+++ b/entrytest/jobs_test.go
@@ -312,3 +312,21 @@
 		}
 	}
 }
+
+// TestItemWithASlowStartCompletes guards against items that begin anew for ever because their
+// engine, the only one, needs longer to the first event than one run may be silent.
+func TestItemWithASlowStartCompletes(t *testing.T) {
+	f := newFleet(t)
+	e := f.startEngine("i-1", slowStart(1700*time.Millisecond))
+	d := f.start("entry-1")
+	if status := d.submitJob(t, "slow", 1, 1); status != http.StatusAccepted {
+		t.Fatalf("status %d", status)
+	}
+	eventually(t, "the item is done", func() bool {
+		page, _ := d.readResults(t, "slow", 0)
+		return len(page.Results) == 1
+	})
+	if n := e.count(); n > 3 {
+		t.Errorf("the engine received the item %d times, want at most 3", n)
+	}
+}
