--- a/relay/forward.go
+++ b/relay/forward.go
@@ -54,6 +54,7 @@
 	if a.response.Class == Succeeded {
 		r.recordWritten(a)
 	}
+	r.bodyStarted = true
 	if err := r.startResponse(a.response); err != nil {
 		return err
 	}
@@ -128,7 +129,7 @@
 		if newEvents > 0 {
 			r.countEvents(a, newEvents)
 			meter.Observe(newEvents, clock.Now())
-			silence.eventArrived(r.lastEvent)
+			silence.eventArrived(r)
 		}
 	}
 }
