Only a response that is known to be whole shows that segments are sound

A crash after the head of a body with neither a length nor chunks counted as an answer: the deadly segment was sound for 10 minutes at that daemon and the answer voided the crashes that others saw. And a segment whose whole answers have one event was never sound, so that its quarantine could not end by an answered trial.

Change: a body shows it only with a length or chunks; an empty one that ends with its connection is incomplete, and the crash is looked for. A stream that ended properly shows it whatever the number of its events, for items too.

--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -150,6 +150,7 @@
 		if err == io.EOF {
 			err = sequence.CheckEnd(resp)
 			if err == nil {
+				c.recordWhole(r, resp, &sequence)
 				return completed, nil
 			}
 		}
@@ -177,6 +178,13 @@
 	}
 }
 
+// recordWhole records the item's segments as sound after a whole response of few events.
+func (c *Controller) recordWhole(r *itemRun, resp *relay.Response, sequence *relay.EventSequence) {
+	if sequence.HasNew && !resp.EndsWithConnection && !r.written() {
+		c.engines.Crashes.RecordWritten(&r.message)
+	}
+}
+
 // appendNew appends the events that the output lacks and returns their number. It stops with
 // an error at the first event that cannot follow.
 func (s *itemState) appendNew(sequence *relay.EventSequence, events []relay.Event) (newEvents int, err error) {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -51,7 +51,10 @@
 	if err != nil {
 		return a.incomplete(err)
 	}
-	if a.response.Class == Succeeded {
+	if len(held) == 0 && a.response.EndsWithConnection && a.response.Class == Succeeded {
+		return a.incomplete(errNoNewEvents)
+	}
+	if a.response.Class == Succeeded && !a.response.EndsWithConnection {
 		r.recordWritten(a)
 	}
 	r.bodyStarted = true
@@ -139,6 +142,9 @@
 	if err := sequence.CheckEnd(a.response); err != nil {
 		return a.incomplete(err)
 	}
+	if sequence.HasNew && !a.response.EndsWithConnection && !a.written {
+		r.recordWritten(a)
+	}
 	return r.startResponse(a.response)
 }
 
--- a/relay/sequence.go
+++ b/relay/sequence.go
@@ -5,7 +5,7 @@
 // Errors of EventSequence.Accept.
 var (
 	errEventsMissing   = errors.New("relay: stream does not go on after the last event")
-	errNoNewEvents     = errors.New("relay: stream ended without an event")
+	errNoNewEvents     = errors.New("relay: response ended with its connection before any content")
 	errUnnumberedEvent = errors.New("relay: event without a number in a numbered stream")
 )
 
