Of many segments the last ones count

Evidence kept the first 8 unanswered segments of a crash, and requests the first 32 of a prompt. A deadly segment behind these was never convicted. The later a segment stands, the fewer requests share it, so the last ones are kept now.

--- a/controller/loads/evidence.go
+++ b/controller/loads/evidence.go
@@ -187,7 +187,7 @@
 		Reporter: by, Engine: c.Engine, StartedAtMs: c.StartedAtMs, DataCentre: c.EngineDataCentre,
 		Request: c.Request, AgeMs: ageMs(c.SeenAt, now),
 	}
-	for _, s := range c.Segments[:min(len(c.Segments), maxToldSegments)] {
+	for _, s := range c.Segments[max(len(c.Segments)-maxToldSegments, 0):] {
 		told.Segments = append(told.Segments, uint64(s))
 	}
 	return told
@@ -235,7 +235,7 @@
 		}
 		claim := blackboard.CrashClaim{Reporter: reporter, SumOf: d.sumOf, EngineDataCentre: c.DataCentre}
 		claim.EngineCrash = blackboard.EngineCrash{Engine: c.Engine, StartedAtMs: c.StartedAtMs, Request: c.Request, SeenAt: d.instant(c.AgeMs)}
-		for _, s := range c.Segments[:min(len(c.Segments), maxToldSegments)] {
+		for _, s := range c.Segments[max(len(c.Segments)-maxToldSegments, 0):] {
 			claim.Segments = append(claim.Segments, blackboard.Segment(s))
 		}
 		e.Crashes = append(e.Crashes, claim)
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -17,7 +17,8 @@
 	// maxCrashes bounds the crashes in a ledger, maxCrashesByPeer those that another daemon
 	// reported.
 	maxCrashes, maxCrashesByPeer = 512, 32
-	// maxCrashSegments bounds the segments of a crash.
+	// maxCrashSegments bounds the segments of a crash: the last ones, which the fewest
+	// requests share.
 	maxCrashSegments = 8
 	// maxVerdicts bounds the verdicts.
 	maxVerdicts = 256
@@ -127,12 +128,12 @@
 			c.contradictedAt = now
 			l.clears[s] = c
 		}
-		if ok && c.AnsweredAt >= crashedAt || len(kept) >= maxCrashSegments || slices.Contains(kept, s) {
+		if ok && c.AnsweredAt >= crashedAt || slices.Contains(kept, s) {
 			continue
 		}
 		kept = append(kept, s)
 	}
-	return kept
+	return kept[max(len(kept)-maxCrashSegments, 0):]
 }
 
 // boundCrashes drops the oldest crash that the daemon reported if these are too many, and the
