A trial of one segment does not open the gate for another

A request that had taken the trial of one segment, and was rejected as not run, passed although another of its segments was quarantined meanwhile, depending on their order; and the time until the next trial was that of the first one, not of the last.

Change: the gate asks for every segment, and takes all due trials. Quarantine.Blocked goes; the tests of the controller ask the gate instead, for the same bounds.

--- a/blackboard/quarantine.go
+++ b/blackboard/quarantine.go
@@ -53,22 +53,6 @@
 // TrialTaken reports whether this daemon has used its trial.
 func (q *Quarantined) TrialTaken() bool { return q.trialTaken.Load() }
 
-// Blocked returns the one of the segments that is quarantined and whose trial is due last,
-// with the time until then, or nil if none is. A request with several of them is thus no
-// trial before the last one is due.
-func (q *Quarantine) Blocked(segments []Segment, now clock.Instant) (blocked *Quarantined, wait time.Duration) {
-	for _, s := range segments {
-		b := q.BySegment[s]
-		if b != nil && (blocked == nil || !b.isTrial(now) || blocked.isTrial(now) && b.TrialDue > blocked.TrialDue) {
-			blocked = b
-		}
-	}
-	if blocked == nil {
-		return nil, 0
-	}
-	return blocked, max(blocked.TrialDue.Sub(now), 0)
-}
-
 // isTrial reports whether a request with the segment would be this daemon's trial.
 func (q *Quarantined) isTrial(now clock.Instant) bool {
 	return q.MayTry && now >= q.TrialDue && !q.trialTaken.Load()
--- a/controller/quarantine/quarantine_test.go
+++ b/controller/quarantine/quarantine_test.go
@@ -79,8 +79,9 @@
 	await(t, board, "one crash makes a suspect", func(q *blackboard.Quarantine) bool { return q.Suspected[1] && len(q.BySegment) == 0 })
 	board.PeerEvidence.Put(blackboard.Evidence{Crashes: []blackboard.CrashClaim{{Reporter: "b", EngineCrash: crash("i-2", 200)}}})
 	await(t, board, "two crashes quarantine a segment", func(q *blackboard.Quarantine) bool {
-		blocked, wait := q.Blocked(segments, clock.Now())
-		return blocked != nil && len(q.BySegment) == 1 && wait > 50*time.Second && !blocked.TakeTrial(clock.Now())
+		gate := blackboard.SegmentGate{Segments: segments}
+		wait, blocked := gate.Blocked(q, clock.Now())
+		return blocked && len(q.BySegment) == 1 && wait > 50*time.Second && !gate.Enter(q, clock.Now()) && !q.BySegment[1].TakeTrial(clock.Now())
 	})
 	if got := verdictsCounted(t, reg); got != 1 {
 		t.Errorf("%g verdicts were counted, want 1", got)
@@ -122,7 +123,8 @@
 	})
 	board.Crashes.Report(crash("i-9", 300))
 	await(t, board, "the crash of the trial extends the quarantine", func(q *blackboard.Quarantine) bool {
-		_, wait := q.Blocked([]blackboard.Segment{1}, clock.Now())
-		return wait > 100*time.Second
+		gate := blackboard.SegmentGate{Segments: []blackboard.Segment{1}}
+		wait, blocked := gate.Blocked(q, clock.Now())
+		return blocked && wait > 100*time.Second
 	})
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -252,6 +252,7 @@
 func (r *activeRequest) fork() *activeRequest {
 	f := *r
 	f.tried = slices.Clone(r.tried)
+	f.gate = r.gate.Fork()
 	return &f
 }
 
