Answers and verdicts do not queue behind crashes in load reports

Among fresh pieces answers now go first, then verdicts, then crashes.

Result: TestVerdictsAndAnswersDoNotQueueBehindCrashes; the tests of loads and of policy/quarantine pass.

--- a/controller/loads/evidence.go
+++ b/controller/loads/evidence.go
@@ -51,8 +51,8 @@
 // RunSender.
 type evidenceSender map[pieceKey]sending
 
-// choose returns at most limit of the pieces for the next report: fresh ones first, then
-// those that were not sent for the longest time.
+// choose returns at most limit of the pieces for the next report: fresh ones first, among
+// them those that matter most, then those that were not sent for the longest time.
 func (s evidenceSender) choose(pieces []piece, limit int, now clock.Instant) []piece {
 	s.forget(pieces)
 	var due []piece
@@ -62,13 +62,7 @@
 		}
 	}
 	slices.SortStableFunc(due, func(a, b piece) int {
-		if fa, fb := s.isFresh(a.key, now), s.isFresh(b.key, now); fa != fb {
-			if fa {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(s[a.key].last, s[b.key].last)
+		return cmp.Or(cmp.Compare(s.rank(&a, now), s.rank(&b, now)), cmp.Compare(s[a.key].last, s[b.key].last))
 	})
 	due = due[:min(len(due), limit)]
 	for _, p := range due {
@@ -82,6 +76,21 @@
 	return due
 }
 
+// rank returns the place of a piece among others, the lowest first: of fresh ones an answer,
+// which ends a mistake, then a verdict, then a crash, which a verdict may already explain.
+func (s evidenceSender) rank(p *piece, now clock.Instant) int {
+	switch {
+	case !s.isFresh(p.key, now):
+		return 3
+	case p.clear != nil:
+		return 0
+	case p.verdict != nil:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // isFresh reports whether the piece was first sent less than freshTime ago, or never.
 func (s evidenceSender) isFresh(key pieceKey, now clock.Instant) bool {
 	sent, ok := s[key]
--- a/controller/loads/evidence_test.go
+++ b/controller/loads/evidence_test.go
@@ -149,3 +149,18 @@
 		t.Error("a stranger's report was taken as evidence")
 	}
 }
+
+// TestVerdictsAndAnswersDoNotQueueBehindCrashes guards against a verdict, or the answer that
+// ends it, that other daemons learn seconds late because many crashes wait to be told.
+func TestVerdictsAndAnswersDoNotQueueBehindCrashes(t *testing.T) {
+	var pieces []piece
+	for i := range 50 {
+		pieces = append(pieces, piece{key: pieceKey{engine: "i", request: uint64(i + 1)}, crash: new(blackboard.CrashClaim)})
+	}
+	pieces = append(pieces, piece{key: pieceKey{segment: 1, at: 1}, verdict: new(blackboard.VerdictClaim)},
+		piece{key: pieceKey{segment: 1, at: 2}, clear: new(blackboard.ClearClaim)})
+	told := make(evidenceSender).choose(pieces, maxToldByDaemon, clock.Now())
+	if len(told) != maxToldByDaemon || told[0].clear == nil || told[1].verdict == nil || told[2].crash == nil {
+		t.Errorf("the first report holds %+v, want the answer, the verdict and a crash", told)
+	}
+}
