Quarantine: decisions on evidence in place of verdicts, accusations and guilt

'Verdict' is the word for whether a failed request ran (GLOSSARY), and the terms of a court are none of the field. The tests of the packages pass, and the root's.

--- a/blackboard/evidence.go
+++ b/blackboard/evidence.go
@@ -18,8 +18,8 @@
 	EngineDataCentre string
 }
 
-// VerdictClaim says that a daemon holds a segment in quarantine.
-type VerdictClaim struct {
+// DecisionClaim says that a daemon holds a segment in quarantine.
+type DecisionClaim struct {
 	// Reporter is the daemon's name. SumOf is as in CrashClaim.
 	Reporter, SumOf string
 	// Segment is the quarantined segment.
@@ -46,10 +46,10 @@
 
 // Evidence is what daemons know about segments that may crash engines. It is immutable.
 type Evidence struct {
-	// Crashes, Verdicts and Clears are the claims of this daemon and of others.
-	Crashes  []CrashClaim
-	Verdicts []VerdictClaim
-	Clears   []ClearClaim
+	// Crashes, Decisions and Clears are the claims of this daemon and of others.
+	Crashes   []CrashClaim
+	Decisions []DecisionClaim
+	Clears    []ClearClaim
 }
 
 // EvidenceQueue passes evidence from other daemons to the controller that judges it. It
--- a/controller/loads/evidence.go
+++ b/controller/loads/evidence.go
@@ -30,18 +30,18 @@
 // pieceKey identifies a piece of evidence.
 type pieceKey struct {
 	reporter, engine string
-	segment          blackboard.Segment // of a verdict or an answer
+	segment          blackboard.Segment // of a decision or an answer
 	startedAtMs      int64
 	request          uint64
-	at               clock.Instant // of a verdict: the last crash; of an answer: its time
+	at               clock.Instant // of a decision: the last crash; of an answer: its time
 }
 
 // piece is a piece of evidence: one of its fields but the first is set.
 type piece struct {
-	key     pieceKey
-	crash   *blackboard.CrashClaim
-	verdict *blackboard.VerdictClaim
-	clear   *blackboard.ClearClaim
+	key      pieceKey
+	crash    *blackboard.CrashClaim
+	decision *blackboard.DecisionClaim
+	clear    *blackboard.ClearClaim
 }
 
 // sending says when a piece was in a report.
@@ -77,14 +77,14 @@
 }
 
 // rank returns the place of a piece among others, the lowest first: of fresh ones an answer,
-// which ends a mistake, then a verdict, then a crash, which a verdict may already explain.
+// which ends a mistake, then a decision, then a crash, which a decision may already explain.
 func (s evidenceSender) rank(p *piece, now clock.Instant) int {
 	switch {
 	case !s.isFresh(p.key, now):
 		return 3
 	case p.clear != nil:
 		return 0
-	case p.verdict != nil:
+	case p.decision != nil:
 		return 1
 	default:
 		return 2
@@ -113,7 +113,7 @@
 	}
 }
 
-// ownPieces returns the evidence that this daemon saw itself, and its verdicts.
+// ownPieces returns the evidence that this daemon saw itself, and its decisions.
 func ownPieces(e *blackboard.Evidence, self string) []piece {
 	return piecesOf(e, func(reporter, _ string) bool { return reporter == self }, func(c *blackboard.ClearClaim) bool { return c.SeenHere })
 }
@@ -133,8 +133,8 @@
 		switch {
 		case p.crash != nil:
 			return !slices.ContainsFunc(p.crash.Segments, func(s blackboard.Segment) bool { return isNamed(s, p.crash.Reporter) })
-		case p.verdict != nil:
-			return !isNamed(p.verdict.Segment, p.verdict.Reporter)
+		case p.decision != nil:
+			return !isNamed(p.decision.Segment, p.decision.Reporter)
 		}
 		return false
 	})
@@ -148,9 +148,9 @@
 			pieces = append(pieces, piece{key: pieceKey{reporter: c.Reporter, engine: c.Engine, startedAtMs: c.StartedAtMs, request: c.Request}, crash: c})
 		}
 	}
-	for i := range e.Verdicts {
-		if v := &e.Verdicts[i]; hasReporter(v.Reporter, v.SumOf) {
-			pieces = append(pieces, piece{key: pieceKey{reporter: v.Reporter, segment: v.Segment, at: v.LastCrash}, verdict: v})
+	for i := range e.Decisions {
+		if v := &e.Decisions[i]; hasReporter(v.Reporter, v.SumOf) {
+			pieces = append(pieces, piece{key: pieceKey{reporter: v.Reporter, segment: v.Segment, at: v.LastCrash}, decision: v})
 		}
 	}
 	for i := range e.Clears {
@@ -178,10 +178,10 @@
 		switch {
 		case p.crash != nil:
 			e.Crashes = append(e.Crashes, encodeCrash(p.crash, by(p.crash.Reporter), now))
-		case p.verdict != nil:
-			e.Verdicts = append(e.Verdicts, peer.QuarantineVerdict{
-				Reporter: by(p.verdict.Reporter), Segment: uint64(p.verdict.Segment), AgeMs: ageMs(p.verdict.LastCrash, now),
-				TrialInMs: -ageMs(p.verdict.TrialDue, now), Extensions: p.verdict.Extensions,
+		case p.decision != nil:
+			e.Decisions = append(e.Decisions, peer.QuarantineDecision{
+				Reporter: by(p.decision.Reporter), Segment: uint64(p.decision.Segment), AgeMs: ageMs(p.decision.LastCrash, now),
+				TrialInMs: -ageMs(p.decision.TrialDue, now), Extensions: p.decision.Extensions,
 			})
 		case p.clear != nil:
 			e.Clears = append(e.Clears, peer.SegmentAnswer{Segment: uint64(p.clear.Segment), AgeMs: ageMs(p.clear.AnsweredAt, now)})
@@ -249,9 +249,9 @@
 		}
 		e.Crashes = append(e.Crashes, claim)
 	}
-	for _, v := range told.Verdicts[:min(len(told.Verdicts), maxHeard)] {
+	for _, v := range told.Decisions[:min(len(told.Decisions), maxHeard)] {
 		if reporter := cmp.Or(v.Reporter, d.sender); d.reporters[reporter] {
-			e.Verdicts = append(e.Verdicts, blackboard.VerdictClaim{
+			e.Decisions = append(e.Decisions, blackboard.DecisionClaim{
 				Reporter: reporter, SumOf: d.sumOf, Segment: blackboard.Segment(v.Segment),
 				LastCrash: d.instant(v.AgeMs), TrialDue: d.instant(-v.TrialInMs), Extensions: v.Extensions,
 			})
--- a/controller/loads/evidence_test.go
+++ b/controller/loads/evidence_test.go
@@ -20,7 +20,7 @@
 }
 
 // reportersHeard empties the daemon's queue and returns the names of the daemons that
-// reported crashes and verdicts, and the segments that were answered.
+// reported crashes and decisions, and the segments that were answered.
 func (d *daemon) reportersHeard() (reporters []string, answered []blackboard.Segment) {
 	names, segments := make(map[string]bool), make(map[blackboard.Segment]bool)
 	for range len(d.board.PeerEvidence.Chan()) {
@@ -28,7 +28,7 @@
 		for _, c := range e.Crashes {
 			names[c.Reporter] = true
 		}
-		for _, v := range e.Verdicts {
+		for _, v := range e.Decisions {
 			names[v.Reporter] = true
 		}
 		for _, c := range e.Clears {
@@ -126,7 +126,7 @@
 	var e peer.Evidence
 	for i := range 100 {
 		e.Crashes = append(e.Crashes, peer.Crash{Reporter: n.daemons[i%len(n.daemons)].peer.Name, Engine: "i-1", Segments: make([]uint64, 100), AgeMs: 1 << 62})
-		e.Verdicts = append(e.Verdicts, peer.QuarantineVerdict{Reporter: fmt.Sprint(i), TrialInMs: -1 << 63})
+		e.Decisions = append(e.Decisions, peer.QuarantineDecision{Reporter: fmt.Sprint(i), TrialInMs: -1 << 63})
 	}
 	from := n.daemons[1].peer // in dc-1, as entry-004, entry-007 and so on
 	d.apply(peer.LoadReport{From: from.Incarnation, Sequence: 1, Evidence: &e})
@@ -150,17 +150,17 @@
 	}
 }
 
-// TestVerdictsAndAnswersDoNotQueueBehindCrashes guards against a verdict, or the answer that
+// TestDecisionsAndAnswersDoNotQueueBehindCrashes guards against a decision, or the answer that
 // ends it, that other daemons learn seconds late because many crashes wait to be told.
-func TestVerdictsAndAnswersDoNotQueueBehindCrashes(t *testing.T) {
+func TestDecisionsAndAnswersDoNotQueueBehindCrashes(t *testing.T) {
 	var pieces []piece
 	for i := range 50 {
 		pieces = append(pieces, piece{key: pieceKey{engine: "i", request: uint64(i + 1)}, crash: new(blackboard.CrashClaim)})
 	}
-	pieces = append(pieces, piece{key: pieceKey{segment: 1, at: 1}, verdict: new(blackboard.VerdictClaim)},
+	pieces = append(pieces, piece{key: pieceKey{segment: 1, at: 1}, decision: new(blackboard.DecisionClaim)},
 		piece{key: pieceKey{segment: 1, at: 2}, clear: new(blackboard.ClearClaim)})
 	told := make(evidenceSender).choose(pieces, maxToldByDaemon, clock.Now())
-	if len(told) != maxToldByDaemon || told[0].clear == nil || told[1].verdict == nil || told[2].crash == nil {
-		t.Errorf("the first report holds %+v, want the answer, the verdict and a crash", told)
+	if len(told) != maxToldByDaemon || told[0].clear == nil || told[1].decision == nil || told[2].crash == nil {
+		t.Errorf("the first report holds %+v, want the answer, the decision and a crash", told)
 	}
 }
--- a/controller/quarantine/quarantine.go
+++ b/controller/quarantine/quarantine.go
@@ -38,7 +38,7 @@
 	*blackboard.Quarantined
 	segment   blackboard.Segment
 	lastCrash clock.Instant
-	due       clock.Instant // when the verdict allows a trial
+	due       clock.Instant // when the decision allows a trial
 	window    int64         // of the trial
 	trialSeen bool          // whether the trial was logged
 }
@@ -107,13 +107,13 @@
 		c.metrics.peerClaims.Inc()
 		c.ledger.AddCrash(claim, now)
 	}
-	for _, claim := range e.Verdicts {
+	for _, claim := range e.Decisions {
 		c.metrics.peerClaims.Inc()
-		c.ledger.AddVerdictClaim(claim, now)
+		c.ledger.AddDecisionClaim(claim, now)
 	}
 }
 
-// judge brings the verdicts up to date and publishes what changed.
+// judge brings the decisions up to date and publishes what changed.
 func (c *Controller) judge() {
 	now := clock.Now()
 	for _, s := range c.ledger.Doubtful() {
@@ -139,9 +139,9 @@
 	}
 }
 
-// record counts and logs a change of a verdict.
+// record counts and logs a change of a decision.
 func (c *Controller) record(event quarantine.Event) {
-	v := event.Verdict
+	v := event.Decision
 	line := c.log.Warn().Str("segment", hex(uint64(v.Segment))).Strs("reported_by", event.Reporters).
 		Dur("trial_in", v.TrialDue.Sub(clock.Now())).Int("trials_that_crashed", v.Extensions)
 	if event.Crash != nil {
@@ -149,15 +149,15 @@
 	}
 	switch event.Kind {
 	case quarantine.Quarantined:
-		c.metrics.verdicts.Inc()
+		c.metrics.decisions.Inc()
 		line.Msg("segment is quarantined: it crashes engines")
 	case quarantine.Adopted:
-		c.metrics.verdicts.Inc()
+		c.metrics.decisions.Inc()
 		line.Msg("segment is quarantined: other daemons report that it crashes engines")
 	case quarantine.Extended:
 		c.metrics.extended.Inc()
 		line.Msg("quarantined segment crashed another engine")
-	case quarantine.Acquitted:
+	case quarantine.Explained:
 		line.Msg("segment leaves quarantine: another one explains the crashes")
 	case quarantine.Forgotten:
 		line.Msg("segment leaves quarantine: no request had it for long")
@@ -167,8 +167,8 @@
 // publishQuarantine publishes the quarantine if it changed.
 func (c *Controller) publishQuarantine(now clock.Instant) {
 	c.logTrials()
-	next := make(map[blackboard.Segment]*published, len(c.ledger.Verdicts()))
-	for s, v := range c.ledger.Verdicts() {
+	next := make(map[blackboard.Segment]*published, len(c.ledger.Decisions()))
+	for s, v := range c.ledger.Decisions() {
 		next[s] = c.publishedFor(v, now)
 	}
 	suspected := c.ledger.Suspected()
@@ -185,9 +185,9 @@
 	c.metrics.suspected.Set(float64(len(suspected)))
 }
 
-// publishedFor returns what is published for the verdict: what already is, unless the verdict
+// publishedFor returns what is published for the decision: what already is, unless the decision
 // or the trial changed.
-func (c *Controller) publishedFor(v *quarantine.Verdict, now clock.Instant) *published {
+func (c *Controller) publishedFor(v *quarantine.Decision, now clock.Instant) *published {
 	trial := quarantine.TrialOf(v.Segment, now.Sub(v.TrialDue), c.board.StoreNow(), c.board.Roster.Value())
 	next := &published{segment: v.Segment, lastCrash: v.LastCrash, due: v.TrialDue}
 	next.Quarantined = &blackboard.Quarantined{Since: v.LastCrash, TrialDue: v.TrialDue, MayTry: trial.MayTry}
--- a/controller/quarantine/quarantine_test.go
+++ b/controller/quarantine/quarantine_test.go
@@ -33,14 +33,14 @@
 	return board, reg
 }
 
-// verdictsCounted returns the number of verdicts that the metrics tell.
-func verdictsCounted(t *testing.T, reg *prometheus.Registry) float64 {
+// decisionsCounted returns the number of decisions that the metrics tell.
+func decisionsCounted(t *testing.T, reg *prometheus.Registry) float64 {
 	families, err := reg.Gather()
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, f := range families {
-		if f.GetName() == "baobab_quarantine_verdicts_total" {
+		if f.GetName() == "baobab_quarantine_decisions_total" {
 			return f.GetMetric()[0].GetCounter().GetValue()
 		}
 	}
@@ -83,8 +83,8 @@
 		wait, blocked := gate.Blocked(q, clock.Now())
 		return blocked && len(q.BySegment) == 1 && wait > 50*time.Second && !gate.Enter(q, clock.Now()) && !q.BySegment[1].TakeTrial(clock.Now())
 	})
-	if got := verdictsCounted(t, reg); got != 1 {
-		t.Errorf("%g verdicts were counted, want 1", got)
+	if got := decisionsCounted(t, reg); got != 1 {
+		t.Errorf("%g decisions were counted, want 1", got)
 	}
 	board.SoundSegments.Record(segments, clock.Now())
 	await(t, board, "an answer here ends the quarantine", func(q *blackboard.Quarantine) bool { return len(q.BySegment) == 0 && !q.Suspected[1] })
@@ -108,12 +108,12 @@
 // against a trial that stays with a daemon without requests.
 func TestTrialIsTakenOnceAndLaterByOthers(t *testing.T) {
 	board, _ := startController(t)
-	claim := blackboard.VerdictClaim{Segment: 1, LastCrash: clock.Now().Add(-time.Minute), TrialDue: clock.Now().Add(-20 * time.Minute)}
+	claim := blackboard.DecisionClaim{Segment: 1, LastCrash: clock.Now().Add(-time.Minute), TrialDue: clock.Now().Add(-20 * time.Minute)}
 	for _, reporter := range []string{"b", "c"} {
 		claim.Reporter = reporter
-		board.PeerEvidence.Put(blackboard.Evidence{Verdicts: []blackboard.VerdictClaim{claim}})
+		board.PeerEvidence.Put(blackboard.Evidence{Decisions: []blackboard.DecisionClaim{claim}})
 	}
-	await(t, board, "a verdict of two daemons is adopted", func(q *blackboard.Quarantine) bool { return len(q.BySegment) == 1 })
+	await(t, board, "a decision of two daemons is adopted", func(q *blackboard.Quarantine) bool { return len(q.BySegment) == 1 })
 	if board.Quarantine.Value().BySegment[1].MayTry {
 		t.Error("a daemon may run a trial before it knows the store's clock")
 	}
--- a/peer/evidence.go
+++ b/peer/evidence.go
@@ -4,9 +4,9 @@
 // segment is given by its hash, a reporter by the name of its daemon, which is left out if it
 // is the sender of the report. Ages are in ms, counted to when the report was sent.
 type Evidence struct {
-	Crashes  []Crash             `json:"crashes,omitempty"`
-	Verdicts []QuarantineVerdict `json:"verdicts,omitempty"`
-	Clears   []SegmentAnswer     `json:"answers,omitempty"`
+	Crashes   []Crash              `json:"crashes,omitempty"`
+	Decisions []QuarantineDecision `json:"decisions,omitempty"`
+	Clears    []SegmentAnswer      `json:"answers,omitempty"`
 }
 
 // Crash is the end of an engine's process while it held a request.
@@ -23,8 +23,8 @@
 	AgeMs    int64    `json:"age_ms"`
 }
 
-// QuarantineVerdict says that a daemon holds a segment in quarantine.
-type QuarantineVerdict struct {
+// QuarantineDecision says that a daemon holds a segment in quarantine.
+type QuarantineDecision struct {
 	Reporter string `json:"by,omitempty"`
 	Segment  uint64 `json:"segment"`
 	// AgeMs is the age of the last crash.
@@ -42,4 +42,4 @@
 }
 
 // IsEmpty reports whether there is no evidence.
-func (e *Evidence) IsEmpty() bool { return len(e.Crashes)+len(e.Verdicts)+len(e.Clears) == 0 }
+func (e *Evidence) IsEmpty() bool { return len(e.Crashes)+len(e.Decisions)+len(e.Clears) == 0 }
--- a/peer/evidence_test.go
+++ b/peer/evidence_test.go
@@ -10,9 +10,9 @@
 // reports during an update.
 func TestEvidenceAndEarlierBuilds(t *testing.T) {
 	want := LoadReport{From: "vm/1", Sequence: 7, Engines: map[string]EngineCounts{}, Evidence: &Evidence{
-		Crashes:  []Crash{{Engine: "i-1", StartedAtMs: 1764900000000, DataCentre: "dc", Request: 1<<64 - 1, Segments: []uint64{1<<64 - 1, 2}, AgeMs: 40}},
-		Verdicts: []QuarantineVerdict{{Reporter: "vm-2", Segment: 1<<64 - 1, AgeMs: 50, TrialInMs: -7, Extensions: 2}},
-		Clears:   []SegmentAnswer{{Segment: 9, AgeMs: 3}},
+		Crashes:   []Crash{{Engine: "i-1", StartedAtMs: 1764900000000, DataCentre: "dc", Request: 1<<64 - 1, Segments: []uint64{1<<64 - 1, 2}, AgeMs: 40}},
+		Decisions: []QuarantineDecision{{Reporter: "vm-2", Segment: 1<<64 - 1, AgeMs: 50, TrialInMs: -7, Extensions: 2}},
+		Clears:    []SegmentAnswer{{Segment: 9, AgeMs: 3}},
 	}}
 	data, err := EncodeLoadReport(want)
 	if err != nil {
--- a/policy/quarantine/days_test.go
+++ b/policy/quarantine/days_test.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// maxCrashesBefore is the stated bound of crashes before the verdict holds everywhere, at
+	// maxCrashesBefore is the stated bound of crashes before the decision holds everywhere, at
 	// a share of 1 in 20 with 7 to 9 daemons and 14 engines.
 	maxCrashesBefore = 5
 	// maxLate is the stated bound of deadly requests later than 3 s after the fifth crash.
@@ -56,7 +56,7 @@
 			t.Errorf("seed %d: %d deadly requests reached engines later than 3 s after the fifth crash", seed, s.late)
 		}
 		if !d.restarts && d.share <= 0.05 && d.engines == 14 && s.crashesBefore > maxCrashesBefore*max(d.deadly, 1) {
-			t.Errorf("seed %d: %d crashes before the verdicts held everywhere", seed, s.crashesBefore)
+			t.Errorf("seed %d: %d crashes before the decisions held everywhere", seed, s.crashesBefore)
 		}
 		if s.longest > maxMistake {
 			t.Errorf("seed %d: requests with a sound segment were refused for %v", seed, s.longest)
@@ -71,6 +71,6 @@
 	if float64(refused) > maxRefusedShare*float64(sound) {
 		t.Errorf("%d of %d sound requests were refused", refused, sound)
 	}
-	t.Logf("%s: worst of %d seeds: %d crashes, %d before the verdicts held, %d late; %d of %d sound requests refused, longest mistake %v",
+	t.Logf("%s: worst of %d seeds: %d crashes, %d before the decisions held, %d late; %d of %d sound requests refused, longest mistake %v",
 		d.name, daySeeds, worst.crashes, worst.crashesBefore, worst.late, refused, sound, worst.longest)
 }
--- a/policy/quarantine/verdict.go
+++ b/policy/quarantine/decision.go
@@ -13,10 +13,10 @@
 	// quarantineTime is the time from the last crash to the first trial. It doubles with
 	// each trial that crashes an engine, up to maxQuarantineTime.
 	quarantineTime, maxQuarantineTime = time.Minute, 10 * time.Minute
-	// forgetTime is how long after its trial is due a verdict is kept if no request with the
+	// forgetTime is how long after its trial is due a decision is kept if no request with the
 	// segment comes.
 	forgetTime = 30 * time.Minute
-	// maxExtensionsByPeer is how often one other daemon's crashes extend a verdict.
+	// maxExtensionsByPeer is how often one other daemon's crashes extend a decision.
 	maxExtensionsByPeer = 4
 	// minVotingDaemons is the size of a fleet from which on another daemon's claims count
 	// only once for a segment.
@@ -26,7 +26,7 @@
 	maxVotesOfSum = 2
 	// evaluateInterval is how often evidence is checked for its age.
 	evaluateInterval = 500 * time.Millisecond
-	// minAdoptedClaims is the number of daemons whose verdict is adopted.
+	// minAdoptedClaims is the number of daemons whose decision is adopted.
 	minAdoptedClaims = 2
 )
 
@@ -36,8 +36,8 @@
 	daemons int
 }
 
-// Verdict is the finding that a segment crashes engines.
-type Verdict struct {
+// Decision is the finding that a segment crashes engines.
+type Decision struct {
 	// Segment is the segment.
 	Segment blackboard.Segment
 	// LastCrash is when it last crashed an engine.
@@ -47,34 +47,34 @@
 	// Extensions is the number of trials that crashed an engine.
 	Extensions int
 
-	extendedBy map[string]int // by other daemon: how often its crashes extended the verdict
+	extendedBy map[string]int // by other daemon: how often its crashes extended the decision
 }
 
-// EventKind says what happened to a verdict.
+// EventKind says what happened to a decision.
 type EventKind int
 
 // Kinds of events.
 const (
-	Quarantined EventKind = iota // a verdict was found
-	Adopted                      // the verdict of other daemons was adopted
-	Extended                     // another crash, or a trial that crashed, extended the verdict
-	Acquitted                    // another segment explains all crashes
+	Quarantined EventKind = iota // a decision was found
+	Adopted                      // the decision of other daemons was adopted
+	Extended                     // another crash, or a trial that crashed, extended the decision
+	Explained                    // another segment explains all crashes
 	Forgotten                    // no request with the segment came for long
 )
 
-// Event is a change of a verdict.
+// Event is a change of a decision.
 type Event struct {
 	// Kind says what happened.
 	Kind EventKind
-	// Verdict is the state after the change. It belongs to the ledger.
-	Verdict *Verdict
+	// Decision is the state after the change. It belongs to the ledger.
+	Decision *Decision
 	// Crash is the last crash that led to the change, or nil.
 	Crash *blackboard.CrashClaim
 	// Reporters are the names of the daemons whose evidence led to the change.
 	Reporters []string
 }
 
-// Evaluate drops what is too old, and brings the verdicts up to date with the evidence. A
+// Evaluate drops what is too old, and brings the decisions up to date with the evidence. A
 // fleet is given by the number of its daemons. It does nothing if it was called less than
 // evaluateInterval ago and nothing changed since.
 func (l *Ledger) Evaluate(now clock.Instant, daemons int) []Event {
@@ -84,28 +84,28 @@
 	}
 	l.evaluated, l.evaluatedAt = state, now
 	l.expire(now)
-	d := l.docket(daemons)
+	d := l.evidenceIndex(daemons)
 	var events []Event
-	for s := range d.accusations {
+	for s := range d.bySegment {
 		events = append(events, l.weigh(s, d)...)
 	}
 	events = append(events, l.adopt(daemons, d)...)
 	return append(events, l.forget(now)...)
 }
 
-// weigh brings the verdict on one segment up to date.
-func (l *Ledger) weigh(s blackboard.Segment, d *docket) []Event {
-	a, v := d.accusations[s], d.verdicts[s]
-	if v != nil && v.Extensions == 0 && d.isAcquitted(s) {
-		delete(l.verdicts, s)
+// weigh brings the decision on one segment up to date.
+func (l *Ledger) weigh(s blackboard.Segment, d *evidenceIndex) []Event {
+	a, v := d.bySegment[s], d.decisions[s]
+	if v != nil && v.Extensions == 0 && d.isExplainedAway(s) {
+		delete(l.decisions, s)
 		l.version++
-		return []Event{{Kind: Acquitted, Verdict: v}}
+		return []Event{{Kind: Explained, Decision: v}}
 	}
 	if v != nil {
 		return l.extend(v, a.crashes)
 	}
 	counted := slices.DeleteFunc(slices.Clone(a.counted), func(c *blackboard.CrashClaim) bool { return d.isExplained(c, s) })
-	if !isGuilty(counted, a.answered, l.othersEnded(a.crashes)) || len(l.verdicts) >= maxVerdicts {
+	if !isSufficient(counted, a.answered, l.othersEnded(a.crashes)) || len(l.decisions) >= maxDecisions {
 		return nil
 	}
 	return []Event{l.quarantine(s, counted)}
@@ -132,13 +132,13 @@
 	}
 }
 
-// quarantine adds a verdict that the crashes, in order of time, justify.
+// quarantine adds a decision that the crashes, in order of time, justify.
 func (l *Ledger) quarantine(s blackboard.Segment, crashes []*blackboard.CrashClaim) Event {
 	last := crashes[len(crashes)-1]
-	v := &Verdict{Segment: s, LastCrash: last.SeenAt, TrialDue: last.SeenAt.Add(quarantineTime), extendedBy: make(map[string]int)}
-	l.verdicts[s] = v
+	v := &Decision{Segment: s, LastCrash: last.SeenAt, TrialDue: last.SeenAt.Add(quarantineTime), extendedBy: make(map[string]int)}
+	l.decisions[s] = v
 	l.version++
-	return Event{Kind: Quarantined, Verdict: v, Crash: last, Reporters: reportersOf(crashes)}
+	return Event{Kind: Quarantined, Decision: v, Crash: last, Reporters: reportersOf(crashes)}
 }
 
 // reportersOf returns the names of the daemons that reported the crashes.
@@ -152,8 +152,8 @@
 	return names
 }
 
-// extend extends a verdict by the crashes, in order of time, that came after its last one.
-func (l *Ledger) extend(v *Verdict, crashes []*blackboard.CrashClaim) []Event {
+// extend extends a decision by the crashes, in order of time, that came after its last one.
+func (l *Ledger) extend(v *Decision, crashes []*blackboard.CrashClaim) []Event {
 	var events []Event
 	for _, c := range crashes {
 		if c.SeenAt <= v.LastCrash {
@@ -171,7 +171,7 @@
 		v.LastCrash = c.SeenAt
 		v.TrialDue = c.SeenAt.Add(quarantineTimeAfter(v.Extensions))
 		l.version++
-		events = append(events, Event{Kind: Extended, Verdict: v, Crash: c, Reporters: []string{c.Reporter}})
+		events = append(events, Event{Kind: Extended, Decision: v, Crash: c, Reporters: []string{c.Reporter}})
 	}
 	return events
 }
@@ -182,37 +182,37 @@
 	return min(quarantineTime<<min(extensions, 8), maxQuarantineTime)
 }
 
-// adopt adds the verdicts that enough other daemons hold, so that a daemon that restarted
-// learns them, except on segments of which it knows an answer or that it acquits. Of different
+// adopt adds the decisions that enough other daemons hold, so that a daemon that restarted
+// learns them, except on segments of which it knows an answer or that another one explains. Of different
 // claims the one with the earliest trial counts.
-func (l *Ledger) adopt(daemons int, d *docket) []Event {
+func (l *Ledger) adopt(daemons int, d *evidenceIndex) []Event {
 	needed := minAdoptedClaims
 	if daemons < minVotingDaemons {
 		needed = 1
 	}
-	bySegment := make(map[blackboard.Segment][]blackboard.VerdictClaim)
+	bySegment := make(map[blackboard.Segment][]blackboard.DecisionClaim)
 	for key, claim := range l.claims {
-		if _, answered := l.clears[key.segment]; !answered && l.verdicts[key.segment] == nil {
+		if _, answered := l.clears[key.segment]; !answered && l.decisions[key.segment] == nil {
 			bySegment[key.segment] = append(bySegment[key.segment], claim)
 		}
 	}
 	var events []Event
 	for s, claims := range bySegment {
 		reporters := countedClaims(claims)
-		if len(reporters) < needed || d.isAcquitted(s) || len(l.verdicts) >= maxVerdicts {
+		if len(reporters) < needed || d.isExplainedAway(s) || len(l.decisions) >= maxDecisions {
 			continue
 		}
-		first := slices.MinFunc(claims, func(a, b blackboard.VerdictClaim) int { return cmp.Compare(a.TrialDue, b.TrialDue) })
-		v := &Verdict{Segment: s, LastCrash: first.LastCrash, TrialDue: first.TrialDue, Extensions: max(first.Extensions, 0), extendedBy: make(map[string]int)}
-		l.verdicts[s] = v
+		first := slices.MinFunc(claims, func(a, b blackboard.DecisionClaim) int { return cmp.Compare(a.TrialDue, b.TrialDue) })
+		v := &Decision{Segment: s, LastCrash: first.LastCrash, TrialDue: first.TrialDue, Extensions: max(first.Extensions, 0), extendedBy: make(map[string]int)}
+		l.decisions[s] = v
 		l.version++
-		events = append(events, Event{Kind: Adopted, Verdict: v, Reporters: reporters})
+		events = append(events, Event{Kind: Adopted, Decision: v, Reporters: reporters})
 	}
 	return events
 }
 
 // countedClaims returns the names of the daemons whose claims count.
-func countedClaims(claims []blackboard.VerdictClaim) []string {
+func countedClaims(claims []blackboard.DecisionClaim) []string {
 	var reporters []string
 	votes := make(map[string]int) // by data centre
 	for _, c := range claims {
@@ -225,14 +225,14 @@
 	return reporters
 }
 
-// forget drops verdicts on segments with which no request came for long.
+// forget drops decisions on segments with which no request came for long.
 func (l *Ledger) forget(now clock.Instant) []Event {
 	var events []Event
-	for s, v := range l.verdicts {
+	for s, v := range l.decisions {
 		if now.Sub(v.TrialDue) > forgetTime {
-			delete(l.verdicts, s)
+			delete(l.decisions, s)
 			l.version++
-			events = append(events, Event{Kind: Forgotten, Verdict: v})
+			events = append(events, Event{Kind: Forgotten, Decision: v})
 		}
 	}
 	return events
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -20,9 +20,9 @@
 	// maxCrashSegments bounds the segments of a crash: the last ones, which the fewest
 	// requests share.
 	maxCrashSegments = 8
-	// maxVerdicts bounds the verdicts.
-	maxVerdicts = 256
-	// maxClaimsByPeer bounds the verdicts that another daemon claims.
+	// maxDecisions bounds the decisions.
+	maxDecisions = 256
+	// maxClaimsByPeer bounds the decisions that another daemon claims.
 	maxClaimsByPeer = 64
 	// reportDelay is the difference up to which two claims mean the same time.
 	reportDelay = 2 * time.Second
@@ -30,21 +30,21 @@
 	maxClears = 1024
 )
 
-// Ledger holds the evidence that one daemon knows, and its verdicts.
+// Ledger holds the evidence that one daemon knows, and its decisions.
 type Ledger struct {
-	self     string // name of the daemon
-	crashes  []blackboard.CrashClaim
-	claims   map[claimKey]blackboard.VerdictClaim
-	clears   map[blackboard.Segment]cleared
-	verdicts map[blackboard.Segment]*Verdict
-	version  uint64
-	told     int // number of answers that other daemons are told
+	self      string // name of the daemon
+	crashes   []blackboard.CrashClaim
+	claims    map[claimKey]blackboard.DecisionClaim
+	clears    map[blackboard.Segment]cleared
+	decisions map[blackboard.Segment]*Decision
+	version   uint64
+	told      int // number of answers that other daemons are told
 
 	evaluated   evaluated
 	evaluatedAt clock.Instant
 }
 
-// claimKey identifies the claim of a verdict.
+// claimKey identifies the claim of a decision.
 type claimKey struct {
 	segment  blackboard.Segment
 	reporter string
@@ -59,31 +59,31 @@
 // NewLedger returns an empty ledger of the named daemon.
 func NewLedger(self string) *Ledger {
 	return &Ledger{
-		self: self, claims: make(map[claimKey]blackboard.VerdictClaim),
-		clears: make(map[blackboard.Segment]cleared), verdicts: make(map[blackboard.Segment]*Verdict),
+		self: self, claims: make(map[claimKey]blackboard.DecisionClaim),
+		clears: make(map[blackboard.Segment]cleared), decisions: make(map[blackboard.Segment]*Decision),
 	}
 }
 
 // Version changes whenever the content of the ledger does.
 func (l *Ledger) Version() uint64 { return l.version }
 
-// IsEmpty reports whether the ledger holds no evidence and no verdict.
+// IsEmpty reports whether the ledger holds no evidence and no decision.
 func (l *Ledger) IsEmpty() bool {
-	return len(l.crashes)+len(l.claims)+len(l.clears)+len(l.verdicts) == 0
+	return len(l.crashes)+len(l.claims)+len(l.clears)+len(l.decisions) == 0
 }
 
-// Verdict returns the verdict on the segment, or nil.
-func (l *Ledger) Verdict(segment blackboard.Segment) *Verdict { return l.verdicts[segment] }
+// Decision returns the decision on the segment, or nil.
+func (l *Ledger) Decision(segment blackboard.Segment) *Decision { return l.decisions[segment] }
 
-// Verdicts returns the verdicts. The caller must not modify the map.
-func (l *Ledger) Verdicts() map[blackboard.Segment]*Verdict { return l.verdicts }
+// Decisions returns the decisions. The caller must not modify the map.
+func (l *Ledger) Decisions() map[blackboard.Segment]*Decision { return l.decisions }
 
-// Suspected returns the segments of crashes on which there is no verdict.
+// Suspected returns the segments of crashes on which there is no decision.
 func (l *Ledger) Suspected() map[blackboard.Segment]bool {
 	suspected := make(map[blackboard.Segment]bool)
 	for _, c := range l.crashes {
 		for _, s := range c.Segments {
-			if l.verdicts[s] == nil {
+			if l.decisions[s] == nil {
 				suspected[s] = true
 			}
 		}
@@ -178,8 +178,8 @@
 	return true
 }
 
-// AddVerdictClaim adds another daemon's claim that it holds a segment in quarantine.
-func (l *Ledger) AddVerdictClaim(v blackboard.VerdictClaim, now clock.Instant) {
+// AddDecisionClaim adds another daemon's claim that it holds a segment in quarantine.
+func (l *Ledger) AddDecisionClaim(v blackboard.DecisionClaim, now clock.Instant) {
 	v.LastCrash = min(v.LastCrash, now)
 	v.TrialDue = min(v.TrialDue, v.LastCrash.Add(maxQuarantineTime))
 	if len(l.uncleared([]blackboard.Segment{v.Segment}, v.LastCrash, now)) == 0 || now.Sub(v.TrialDue) > forgetTime {
@@ -197,7 +197,7 @@
 	l.version++
 }
 
-// countClaims returns the number of verdicts that the daemon claims.
+// countClaims returns the number of decisions that the daemon claims.
 func (l *Ledger) countClaims(reporter string) int {
 	n := 0
 	for key := range l.claims {
@@ -209,7 +209,7 @@
 }
 
 // Clear records that an engine answered a request with the segment, and drops the evidence
-// from before. For later evidence, see accusation. It reports whether it ended a verdict.
+// from before. For later evidence, see segmentEvidence. It reports whether it ended a decision.
 func (l *Ledger) Clear(c blackboard.ClearClaim, now clock.Instant) (ended bool) {
 	c.AnsweredAt = min(c.AnsweredAt, now)
 	old, known := l.clears[c.Segment]
@@ -232,8 +232,8 @@
 			delete(l.claims, key)
 		}
 	}
-	if v := l.verdicts[c.Segment]; v != nil && v.LastCrash <= c.AnsweredAt {
-		delete(l.verdicts, c.Segment)
+	if v := l.decisions[c.Segment]; v != nil && v.LastCrash <= c.AnsweredAt {
+		delete(l.decisions, c.Segment)
 		return true
 	}
 	return false
--- a/policy/quarantine/ledger_test.go
+++ b/policy/quarantine/ledger_test.go
@@ -14,12 +14,12 @@
 	"github.com/baobablanding/baobablanding/clock"
 )
 
-// TestVerdicts compares the verdicts of a daemon named "self" with testdata/verdicts. Each
-// input line is a crash "time reporter engine data-centre request segment...", a verdict
-// "time reporter verdict segment", an answer "time answer segment" or a "time check"; times
+// TestDecisions compares the decisions of a daemon named "self" with testdata/decisions. Each
+// input line is a crash "time reporter engine data-centre request segment...", a decision
+// "time reporter decision segment", an answer "time answer segment" or a "time check"; times
 // are in ms and in order.
-func TestVerdicts(t *testing.T) {
-	datadriven.RunTest(t, "testdata/verdicts", func(t *testing.T, d *datadriven.TestData) string {
+func TestDecisions(t *testing.T) {
+	datadriven.RunTest(t, "testdata/decisions", func(t *testing.T, d *datadriven.TestData) string {
 		daemons := 9
 		d.MaybeScanArgs(t, "daemons", &daemons)
 		l := NewLedger("self")
@@ -45,8 +45,8 @@
 	case words[0] == "check":
 	case words[0] == "answer":
 		l.Clear(blackboard.ClearClaim{Segment: segmentNamed(words[1]), AnsweredAt: now}, now)
-	case words[1] == "verdict":
-		l.AddVerdictClaim(blackboard.VerdictClaim{Reporter: words[0], Segment: segmentNamed(words[2]), LastCrash: now, TrialDue: now.Add(quarantineTime)}, now)
+	case words[1] == "decision":
+		l.AddDecisionClaim(blackboard.DecisionClaim{Reporter: words[0], Segment: segmentNamed(words[2]), LastCrash: now, TrialDue: now.Add(quarantineTime)}, now)
 	default:
 		c := blackboard.CrashClaim{Reporter: words[0], EngineDataCentre: words[2]}
 		c.Reporter, c.SumOf, _ = strings.Cut(words[0], "@")
@@ -58,11 +58,11 @@
 	}
 }
 
-// describe returns the verdicts, with the seconds from their last crash to their trial, and
+// describe returns the decisions, with the seconds from their last crash to their trial, and
 // the suspected segments.
 func describe(l *Ledger) string {
 	var parts []string
-	for s, v := range l.Verdicts() {
+	for s, v := range l.Decisions() {
 		parts = append(parts, fmt.Sprintf(" %c quarantined %.0fs", rune(s), v.TrialDue.Sub(v.LastCrash).Seconds()))
 	}
 	for s := range l.Suspected() {
@@ -72,9 +72,9 @@
 	return strings.Join(parts, "")
 }
 
-// TestOneFaultyDaemonConvictsNothing guards against a daemon that blocks a model by claims of
-// crashes and verdicts, and against a ledger that they fill without bound.
-func TestOneFaultyDaemonConvictsNothing(t *testing.T) {
+// TestOneFaultyDaemonQuarantinesNothing guards against a daemon that blocks a model by claims of
+// crashes and decisions, and against a ledger that they fill without bound.
+func TestOneFaultyDaemonQuarantinesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l, now := NewLedger("self"), dayStart
 		for range rapid.IntRange(1, 300).Draw(t, "claims") {
@@ -86,15 +86,15 @@
 					Segments: []blackboard.Segment{segment, segment + 1}, SeenAt: now.Add(-time.Duration(rapid.Int64().Draw(t, "age") % int64(time.Hour))),
 				}}, now)
 			} else {
-				l.AddVerdictClaim(blackboard.VerdictClaim{Reporter: "faulty", Segment: segment, LastCrash: now, TrialDue: now.Add(time.Hour)}, now)
+				l.AddDecisionClaim(blackboard.DecisionClaim{Reporter: "faulty", Segment: segment, LastCrash: now, TrialDue: now.Add(time.Hour)}, now)
 			}
 			l.Evaluate(now, minVotingDaemons)
 		}
-		if len(l.Verdicts()) > 0 {
-			t.Fatalf("verdicts %v", l.Verdicts())
+		if len(l.Decisions()) > 0 {
+			t.Fatalf("decisions %v", l.Decisions())
 		}
 		if len(l.crashes) > maxCrashesByPeer || len(l.claims) > maxClaimsByPeer {
-			t.Fatalf("%d crashes and %d verdicts of one daemon are kept", len(l.crashes), len(l.claims))
+			t.Fatalf("%d crashes and %d decisions of one daemon are kept", len(l.crashes), len(l.claims))
 		}
 	})
 }
--- a/policy/quarantine/simulation_test.go
+++ b/policy/quarantine/simulation_test.go
@@ -172,7 +172,7 @@
 	}
 }
 
-// lie lets daemon 0 claim crashes of sound segments and verdicts on them.
+// lie lets daemon 0 claim crashes of sound segments and decisions on them.
 func (s *simulation) lie() {
 	for _, d := range s.daemons[1:] {
 		for _, segment := range s.soundSegments() {
@@ -180,7 +180,7 @@
 				Engine: fmt.Sprint(s.rng.IntN(100)), Request: s.rng.Uint64(), Segments: []blackboard.Segment{segment}, SeenAt: s.now,
 			}}
 			d.ledger.AddCrash(c, s.now)
-			d.ledger.AddVerdictClaim(blackboard.VerdictClaim{Reporter: "entry-0", Segment: segment, LastCrash: s.now, TrialDue: s.now.Add(time.Hour)}, s.now)
+			d.ledger.AddDecisionClaim(blackboard.DecisionClaim{Reporter: "entry-0", Segment: segment, LastCrash: s.now, TrialDue: s.now.Add(time.Hour)}, s.now)
 		}
 	}
 }
@@ -237,7 +237,7 @@
 // which.
 func (s *simulation) isRefused(d *simDaemon, segments []blackboard.Segment) (by blackboard.Segment, refused bool) {
 	for _, segment := range segments {
-		v := d.ledger.Verdict(segment)
+		v := d.ledger.Decision(segment)
 		if v == nil {
 			continue
 		}
@@ -294,7 +294,7 @@
 	}
 	for _, d := range s.daemons {
 		for segment := range s.deadly {
-			if s.now >= d.downUntil && d.ledger.Verdict(blackboard.Segment(segment)) == nil {
+			if s.now >= d.downUntil && d.ledger.Decision(blackboard.Segment(segment)) == nil {
 				s.crashesBefore = s.crashes
 			}
 		}
@@ -381,10 +381,10 @@
 			d.ledger.AddCrash(c, s.now)
 		}
 	}
-	for _, v := range e.Verdicts {
+	for _, v := range e.Decisions {
 		if v.Reporter == from {
 			v.LastCrash, v.TrialDue, v.SumOf = v.LastCrash.Add(delay), v.TrialDue.Add(delay), sumOf
-			d.ledger.AddVerdictClaim(v, s.now)
+			d.ledger.AddDecisionClaim(v, s.now)
 		}
 	}
 	s.judge(d)
--- a/policy/quarantine/tell.go
+++ b/policy/quarantine/tell.go
@@ -17,13 +17,13 @@
 // Version changes.
 func (l *Ledger) Evidence(now clock.Instant) *blackboard.Evidence {
 	e := &blackboard.Evidence{Crashes: slices.Clone(l.crashes)}
-	for _, v := range l.verdicts {
-		e.Verdicts = append(e.Verdicts, blackboard.VerdictClaim{
+	for _, v := range l.decisions {
+		e.Decisions = append(e.Decisions, blackboard.DecisionClaim{
 			Reporter: l.self, Segment: v.Segment, LastCrash: v.LastCrash, TrialDue: v.TrialDue, Extensions: v.Extensions,
 		})
 	}
 	for _, claim := range l.claims {
-		e.Verdicts = append(e.Verdicts, claim)
+		e.Decisions = append(e.Decisions, claim)
 	}
 	for _, c := range l.clears {
 		if l.isTold(c, now) {
@@ -57,7 +57,7 @@
 			doubtful[s] = true
 		}
 	}
-	for s := range l.verdicts {
+	for s := range l.decisions {
 		doubtful[s] = true
 	}
 	for key := range l.claims {
--- a/policy/quarantine/guilt.go
+++ b/policy/quarantine/threshold.go
@@ -11,10 +11,10 @@
 	// togetherTime is the time in which engines of one data centre end together if power or a
 	// VM is lost. Their ends then count as one.
 	togetherTime = 500 * time.Millisecond
-	// minIncidents is the number of incidents that convict a segment of several requests;
+	// minIncidents is the number of incidents that quarantine a segment of several requests;
 	// minIncidentsOfOne holds if all crashes caught the same request.
 	minIncidents, minIncidentsOfOne = 2, 3
-	// minEngines is the number of engines, each with a request of its own, that convict a
+	// minEngines is the number of engines, each with a request of its own, that quarantine a
 	// segment even if all ended together.
 	minEngines = 4
 )
@@ -30,7 +30,7 @@
 
 // countedCrashes returns those of the crashes, in order of time, that count as evidence on
 // this daemon: all that it saw itself, and one of each other daemon, so that a faulty daemon
-// alone convicts no segment. The sum of a data centre counts for at most maxVotesOfSum of its
+// alone quarantines no segment. The sum of a data centre counts for at most maxVotesOfSum of its
 // daemons. In a fleet of fewer than minVotingDaemons all crashes count.
 func countedCrashes(crashes []*blackboard.CrashClaim, self string, daemons int) []*blackboard.CrashClaim {
 	if daemons < minVotingDaemons {
@@ -90,10 +90,10 @@
 	return best
 }
 
-// isGuilty reports whether the crashes, in order of time, convict the segment that all of
+// isSufficient reports whether the crashes, in order of time, quarantine the segment that all of
 // them have. Answered says whether it was answered before, and othersEnded whether other
 // engines ended with them, see othersEnded.
-func isGuilty(crashes []*blackboard.CrashClaim, answered, othersEnded bool) bool {
+func isSufficient(crashes []*blackboard.CrashClaim, answered, othersEnded bool) bool {
 	engines := make(map[engineStart]bool)
 	requests := make(map[uint64]bool)
 	incidents := 0
@@ -122,13 +122,13 @@
 // othersEnded reports whether engines without the segment, whose crashes are given, ended
 // together with one of these: the segment may not be the cause.
 func (l *Ledger) othersEnded(crashes []*blackboard.CrashClaim) bool {
-	accused := make(map[engineStart]bool)
+	suspect := make(map[engineStart]bool)
 	for _, c := range crashes {
-		accused[startOf(c)] = true
+		suspect[startOf(c)] = true
 	}
 	for i := range l.crashes {
 		other := &l.crashes[i]
-		if accused[startOf(other)] {
+		if suspect[startOf(other)] {
 			continue
 		}
 		for _, c := range crashes {
