--- a/review/standins/daemon.go
+++ b/review/standins/daemon.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"syscall"
 	"time"
 )
@@ -18,7 +17,7 @@
 machineClass: "edge"
 serves:
   - "edge"
-ip: "127.0.0.1"
+ip: %q
 zone: "zone-a"
 region: "region-a"
 zones:
@@ -85,34 +84,32 @@
 	ended chan struct{} // closed when the process has ended
 }
 
-// freePort returns a free loopback port.
-func freePort() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	_, port, err := net.SplitHostPort(listener.Addr().String())
-	return port, err
-}
+// ports are the ports of a daemon at its own loopback address, where nothing else listens and
+// no outgoing connection takes a port.
+const frontPort, readyPort, peerPort, metricsPort = "8689", "8687", "7360", "7375"
 
-// newDaemon writes the settings file of a daemon into dir.
-func newDaemon(rec *record, root, dir, name, store string) (*daemon, error) {
-	var ports [4]string
-	for i := range ports {
-		port, err := freePort()
+// newDaemon writes the settings file of the daemon with the number into dir.
+func newDaemon(rec *record, root, dir string, number int, store string) (*daemon, error) {
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid>>7&0x7f, pid&0x7f, number)
+	d := &daemon{
+		Name: fmt.Sprintf("edge-%d", number), Front: net.JoinHostPort(ip, frontPort), ready: net.JoinHostPort(ip, readyPort), root: root, rec: rec,
+	}
+	for _, port := range []string{frontPort, readyPort, peerPort, metricsPort} {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, port))
 		if err != nil {
 			return nil, err
 		}
-		ports[i] = port
+		listener.Close()
 	}
-	logs, err := os.Create(filepath.Join(dir, name+".log"))
-	if err != nil {
+	d.path = filepath.Join(dir, d.Name+".yaml")
+	text := fmt.Sprintf(settingsFile, d.Name, ip, d.Front, d.ready, peerPort, metricsPort, store)
+	if err := os.WriteFile(d.path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	d := &daemon{Name: name, Front: "127.0.0.1:" + ports[0], ready: "127.0.0.1:" + ports[1], path: filepath.Join(dir, name+".yaml"), root: root, logs: logs, rec: rec}
-	text := fmt.Sprintf(settingsFile, name, d.Front, d.ready, ports[2], ports[3], store)
-	return d, os.WriteFile(d.path, []byte(text), 0o600)
+	var err error
+	d.logs, err = os.Create(filepath.Join(dir, d.Name+".log"))
+	return d, err
 }
 
 // start starts the process with the command of the deploy file.
@@ -172,6 +169,3 @@
 		<-d.ended
 	}
 }
-
-// pid returns the id of the process as text.
-func (d *daemon) pid() string { return strconv.Itoa(d.cmd.Process.Pid) }
--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,14 +28,30 @@
 	Unframed bool
 
 	rec      *record
-	born     atomic.Int64
+	born     int64
 	slots    int64
 	running  atomic.Int64
 	sequence atomic.Int64
 
+	quit chan struct{} // closed when the engine leaves: it registers no more
+
 	mu       sync.Mutex
-	listener net.Listener // nil while the engine is down
+	listener net.Listener // nil once the engine has ended
 	conns    map[net.Conn]bool
+	arrived  []arrival
+}
+
+// arrival is a request that reached an engine.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+// arrivals returns the requests that reached the engine and were not meant for another one.
+func (e *engine) arrivals() []arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrived)
 }
 
 // startEngine starts an engine on a free loopback port. It does not register itself.
@@ -43,17 +60,14 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{ID: id, Address: listener.Addr().String(), Pace: 20 * time.Millisecond, rec: rec, slots: 8}
+	e := &engine{ID: id, Address: listener.Addr().String(), Pace: 20 * time.Millisecond, rec: rec, slots: 8, born: time.Now().UnixMilli(), quit: make(chan struct{})}
 	e.serve(listener)
 	return e, nil
 }
 
-// serve begins a start of the engine.
+// serve begins to serve on the listener.
 func (e *engine) serve(listener net.Listener) {
-	e.born.Store(time.Now().UnixMilli())
-	e.mu.Lock()
 	e.listener, e.conns = listener, make(map[net.Conn]bool)
-	e.mu.Unlock()
 	server := &http.Server{Handler: e, ConnState: func(c net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			e.mu.Lock()
@@ -68,46 +82,29 @@
 	go server.Serve(listener)
 }
 
-// crash ends the engine, with its listener and all its connections, and starts it again at
-// its address after d.
-func (e *engine) crash(d time.Duration) {
+// end ends the engine, with its listener and all its connections.
+func (e *engine) end() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rec.log("engine %s crashes with %d requests", e.ID, e.running.Load())
+	e.rec.log("engine %s ends its process with %d requests", e.ID, e.running.Load())
 	e.listener.Close()
 	e.listener = nil
 	for c := range e.conns {
 		c.Close()
 	}
-	time.AfterFunc(d, func() {
-		listener, err := net.Listen("tcp", e.Address)
-		if err != nil {
-			e.rec.log("engine %s does not start again: %v", e.ID, err)
-			return
-		}
-		e.rec.log("engine %s starts again", e.ID)
-		e.serve(listener)
-	})
-}
-
-// isDown reports whether the engine has crashed and not started again.
-func (e *engine) isDown() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.listener == nil
 }
 
 // register writes the engine's row every heartbeat until stop is closed.
 func (e *engine) register(s *store, service string, stop <-chan struct{}) {
 	for {
-		if !e.isDown() {
-			s.put("servers", e.ID, map[string]any{
-				"service": service, "address": e.Address, "zone": "zone-a", "version": "v1", "slots": e.slots, "state": "ready",
-				"coldLeftMs": 0, "sequence": e.sequence.Add(1), "born": e.born.Load(),
-			})
-		}
+		s.put("servers", e.ID, map[string]any{
+			"service": service, "address": e.Address, "zone": "zone-a", "version": "v1", "slots": e.slots, "state": "ready",
+			"coldLeftMs": 0, "sequence": e.sequence.Add(1), "born": e.born,
+		})
 		select {
 		case <-time.After(1200 * time.Millisecond):
+		case <-e.quit:
+			return
 		case <-stop:
 			return
 		}
@@ -136,6 +133,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.mu.Lock()
+	e.arrived = append(e.arrived, arrival{id, time.Now()})
+	e.mu.Unlock()
 	if e.running.Add(1) > e.slots {
 		e.running.Add(-1)
 		e.rec.log("engine %s rejects %s: full", e.ID, id)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -38,6 +38,7 @@
 var cases = map[string]func(*fleet) (bool, error){
 	"new-route":    newRoute,
 	"roster-blind": rosterBlind,
+	"gone-engine":  goneEngine,
 }
 
 func main() {
@@ -105,7 +106,7 @@
 			return err
 		}
 		f.doors = append(f.doors, door)
-		d, err := newDaemon(f.rec, root, dir, fmt.Sprintf("edge-%c", 'a'+i), door.Address)
+		d, err := newDaemon(f.rec, root, dir, i+1, door.Address)
 		if err != nil {
 			return err
 		}
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -68,6 +69,7 @@
 type door struct {
 	Address string
 	store   *store
+	closed  atomic.Bool // connections are reset
 }
 
 // newDoor opens a door on a free loopback port.
@@ -83,6 +85,13 @@
 
 // ServeHTTP implements http.Handler.
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.closed.Load() {
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+		return
+	}
 	d.store.mux.ServeHTTP(w, r)
 }
 
@@ -252,15 +261,9 @@
 	s.commit([]row{{Table: table, Key: key, Value: data}}, nil)
 }
 
-// read returns the keys and values of a table, for the record only.
-func (s *store) read(table string) map[rowKey][]byte {
+// remove removes a row as the platform does.
+func (s *store) remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := make(map[rowKey][]byte)
-	for k, v := range s.rows {
-		if k.Table == table {
-			found[k] = v.Value
-		}
-	}
-	return found
+	s.commit(nil, []row{{Table: table, Key: key}})
 }
