--- a/review/standins/main_test.go
+++ b/review/standins/main_test.go
@@ -24,6 +24,9 @@
 	couldNot = 2
 )
 
+// maxRunTime bounds the time of a case.
+const maxRunTime = 118 * time.Second
+
 // fleet is what a case runs.
 type fleet struct {
 	rec     *record
@@ -62,6 +65,10 @@
 	f := &fleet{rec: rec, trouble: os.Getenv("TROUBLE") != "0", stop: make(chan struct{})}
 	defer f.close()
 	rec.say("disruption: %v", f.trouble)
+	time.AfterFunc(maxRunTime, func() {
+		rec.say("the case could not run: it takes longer than %v", maxRunTime)
+		os.Exit(couldNot) // the daemons end with this process
+	})
 	ok, err := c(f)
 	switch {
 	case err != nil:
