--- a/review/standins/main_test.go
+++ b/review/standins/main_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package cases holds the scripts' cases of the review and their stand-ins. It is built as a
 // test program, see ../build.sh. A case starts entry daemons as processes, with stand-ins of
 // the store, the engines, the operator and the clients, and checks one rule.
--- a/review/standins/newroute_test.go
+++ b/review/standins/newroute_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package cases
 
 import (
