Rates: refused callers are told when a token is expected for them

Callers of a workspace beyond its rate were all told to come back after 200 ms, came back within the same peak and were refused for good.

--- a/blackboard/ratelimiters.go
+++ b/blackboard/ratelimiters.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/policy/admission"
 	"github.com/baobablanding/baobablanding/policy/bucket"
 )
 
@@ -35,6 +36,11 @@
 	// Estimate is the content of the shared bucket, estimated from the admissions of
 	// this and the other daemons. controller/rates writes it.
 	Estimate Section[bucket.Estimate]
+	// Returns is the virtual queue of the callers that this daemon told to come back when
+	// the shared bucket has tokens again. The path of a request writes it.
+	Returns admission.ReturnQueue
+	// Refused counts the requests that this daemon refused because of the rate.
+	Refused atomic.Int64
 	// RefillNeeded wakes controller/rates when the tokens run low. Its capacity is one:
 	// a full channel means that the wake-up is pending.
 	RefillNeeded chan struct{}
@@ -47,6 +53,13 @@
 	return l
 }
 
+// ShareHere returns the part of the workspace's admitted requests that this daemon admits
+// itself: its even part while few are known, and what was counted later.
+func (l *RateLimiter) ShareHere(daemons int) float64 {
+	here, peers := float64(l.AdmittedHere.Load()), float64(l.AdmittedByPeers.Load())
+	return (here + 1) / (here + peers + float64(max(daemons, 1)))
+}
+
 // Grant is a number of tokens that this daemon may use for a limited time. They were
 // taken out of the workspace's shared bucket or are an overdraft. The methods may be
 // called from several goroutines.
--- a/policy/bucket/estimate.go
+++ b/policy/bucket/estimate.go
@@ -62,3 +62,15 @@
 // Wait returns how long it takes until the bucket holds one token, or 0 if it holds
 // one or none is ever added.
 func (e Estimate) Wait(l Limit) time.Duration { return State{Tokens: e.tokens}.Wait(l) }
+
+// Tokens returns the number of tokens at the last update. It is negative while the daemons
+// admitted more than was added.
+func (e Estimate) Tokens() float64 { return e.tokens }
+
+// Age returns the time since the last update, or 0 before the first one.
+func (e Estimate) Age(now clock.Instant) time.Duration {
+	if e.updatedAt == 0 {
+		return 0
+	}
+	return now.Sub(e.updatedAt)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -85,7 +85,7 @@
 	if err := r.checkQuarantine(); err != nil {
 		return false, err
 	}
-	if err := s.takeToken(ctx, identity.Workspace); err != nil {
+	if err := s.admitByRate(ctx, identity.Workspace, req); err != nil {
 		return false, err
 	}
 	r.admittedAt = clock.Now()
