Read the fourth field of Server-Load; items record engines' loads

An answer with four fields was discarded, so the load of engines that report their pace was unknown. Values of another form are ignored as a whole, counted, and logged at most once a minute; numbers that other daemons would reject in a load report are among them. Responses to items record the engine's load as those to online requests do.

Tests of platform, relay and controller/jobs pass.

--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -126,9 +126,11 @@
 	if resp.RecordLeaving(r.engine) {
 		c.logItem(r.itemState, r.engine, nil).Int("status", resp.Status).Msg("engine shuts down and gets no more items")
 	}
-	switch {
-	case resp.NotRun || resp.Misdirected:
+	if resp.NotRun || resp.Misdirected {
 		return notRun, nil
+	}
+	resp.RecordLoad(r.engine)
+	switch {
 	case resp.Class == relay.Unprocessable:
 		return unprocessable, nil
 	case resp.Class == relay.Failed:
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -131,6 +131,7 @@
 		return fmt.Errorf("listen for load reports: %w", err)
 	}
 	reg := newRegistry()
+	engines.CountMalformedLoads(reg, e.log)
 	registerEntryMetrics(reg, e.board)
 	e.roster = roster.New(e.board, rows, self, e.log)
 	metrics := relay.NewMetrics(reg)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -148,7 +148,7 @@
 		return r.rejected(a.engine, response)
 	}
 	r.runs++
-	response.recordLoad(a.engine)
+	response.RecordLoad(a.engine)
 	if response.failed() {
 		a.engine.Load.Health.RecordFailure(clock.Now())
 		r.logAttempt(a.engine, "failed").Int("status", response.Status).Bool("retry", r.mayRunAgain()).Msg("engine returned an error")
--- a/relay/request.go
+++ b/relay/request.go
@@ -97,6 +97,9 @@
 	// Running and Waiting are the numbers of requests that the engine had when it
 	// began to respond, or -1 if it did not report them.
 	Running, Waiting int
+	// Pace says, in percent, how long work took on the engine's VM at that moment, or is 0
+	// if the engine did not report it.
+	Pace int
 	// Leaving reports whether the engine shuts down and takes no new work.
 	Leaving bool
 	// Body is the content. It returns an error other than io.EOF if it ends early.
@@ -113,8 +116,8 @@
 	return r.Leaving && !r.Misdirected && !engine.Load.Leaving.Swap(true)
 }
 
-// recordLoad records the load that the engine reported with its response.
-func (r *Response) recordLoad(engine *blackboard.Engine) {
+// RecordLoad records the load that the engine reported with its response.
+func (r *Response) RecordLoad(engine *blackboard.Engine) {
 	if r.Running >= 0 {
 		engine.Load.OwnReport.Record(int64(r.Running+r.Waiting), clock.Now())
 	}
