Jobs: a broken engine does not use up the attempts of an item

Cause: an engine that fails everything at once looks idle and got the same item for all of its attempts within milliseconds; the item was given up. Its failures did not count against the engine. Change: a failed item avoids the engine for 2 s, pauses 0.5 s, doubled up to 4 s, before its next attempt, and its failure counts against the engine's health.

--- a/controller/jobs/itemstate.go
+++ b/controller/jobs/itemstate.go
@@ -26,6 +26,8 @@
 	savedFailures  int                      // failedAttempts in the stored checkpoint
 	giveUp         confirm.Decision         // to give the item up after failedAttempts
 	failedAt       map[string]clock.Instant // by engine: when the item was last rejected or interrupted
+	failedBy       map[string]clock.Instant // by engine: when it last failed the item
+	retryAt        clock.Instant            // when the item may run again after a failed attempt, or 0
 
 	gate      blackboard.SegmentGate
 	crashedAt clock.Instant // when an engine last crashed with the item, or 0
@@ -48,7 +50,7 @@
 
 // newItemState returns the state of an item that was not run yet.
 func newItemState(job *ownedJob, index int) *itemState {
-	s := &itemState{job: job, index: index, savedEvent: -1, failedAt: make(map[string]clock.Instant)}
+	s := &itemState{job: job, index: index, savedEvent: -1, failedAt: make(map[string]clock.Instant), failedBy: make(map[string]clock.Instant)}
 	s.output.Store(&itemOutput{lastEvent: -1})
 	return s
 }
@@ -92,11 +94,35 @@
 	return nil
 }
 
-// failedRecently reports whether the engine rejected or interrupted the item in the last
-// second.
+const (
+	// interruptedAvoidance and failedAvoidance are how long an item avoids an engine that
+	// rejected or interrupted it, or failed it. An engine that fails items at once looks idle
+	// and would get the same item for all of its attempts.
+	interruptedAvoidance = time.Second
+	failedAvoidance      = 2 * time.Second
+	// firstFailurePause is the pause after an item's first failed attempt. It doubles with
+	// each further one, so that the fleet ejects engines that fail everything before they
+	// use up the attempts of an item that others can do.
+	firstFailurePause = 500 * time.Millisecond
+	maxPauseDoublings = 3
+)
+
+// failedRecently reports whether the engine rejected, interrupted or failed the item so
+// lately that the item avoids it.
 func (s *itemState) failedRecently(e *blackboard.Engine) bool {
 	at, ok := s.failedAt[e.ID]
-	return ok && clock.Since(at) < time.Second
+	if ok && clock.Since(at) < interruptedAvoidance {
+		return true
+	}
+	at, ok = s.failedBy[e.ID]
+	return ok && clock.Since(at) < failedAvoidance
+}
+
+// recordFailedAttempt counts an attempt that the engine failed, and delays the next one.
+func (s *itemState) recordFailedAttempt(engine string, now clock.Instant) {
+	s.failedBy[engine] = now
+	s.retryAt = now.Add(firstFailurePause << min(s.failedAttempts, maxPauseDoublings))
+	s.failedAttempts++
 }
 
 // elapsed returns how long the item ran, including its current run.
--- a/controller/jobs/itemstate_test.go
+++ b/controller/jobs/itemstate_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
 	"github.com/baobablanding/baobablanding/relay"
 )
@@ -35,3 +38,25 @@
 		t.Errorf("%d items are unsaved, want 1", n)
 	}
 }
+
+// TestEngineThatFailsEverythingDoesNotUseUpAnItem guards against an item that is given up
+// because the same broken engine, which looks idle, fails all of its attempts within
+// milliseconds.
+func TestEngineThatFailsEverythingDoesNotUseUpAnItem(t *testing.T) {
+	c, o := newTestController(0)
+	s := o.waiting[0]
+	o.waiting = nil
+	broken := &blackboard.Engine{Engine: &catalog.Engine{ID: "broken", Slots: 8}, Load: new(blackboard.EngineLoad)}
+	c.runEnded(s, broken, failed, nil)
+	now := clock.Now()
+	if c.mayStart(s, now) || !c.mayStart(s, now.Add(firstFailurePause)) {
+		t.Error("the item does not pause after a failed attempt, or too long")
+	}
+	if !s.failedRecently(broken) || !broken.Load.Health.IsSuspected(now) {
+		t.Error("the engine that failed the item may get it again at once")
+	}
+	c.runEnded(s, broken, failed, nil)
+	if now = clock.Now(); c.mayStart(s, now.Add(firstFailurePause)) || !c.mayStart(s, now.Add(2*firstFailurePause)) {
+		t.Error("the pause does not double")
+	}
+}
--- a/controller/jobs/quarantine.go
+++ b/controller/jobs/quarantine.go
@@ -27,8 +27,11 @@
 }
 
 // mayStart reports whether the item may run now: its segments are not quarantined, or it is
-// their trial, and it does not wait after a crash.
+// their trial, and it does not wait after a crash or a failed attempt.
 func (c *Controller) mayStart(s *itemState, now clock.Instant) bool {
+	if now < s.retryAt {
+		return false
+	}
 	quarantine := c.board.Quarantine.Value()
 	if s.crashedAt == 0 && len(quarantine.BySegment) == 0 {
 		return true
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -238,7 +238,9 @@
 		o.finished = append(o.finished, s.result(job.GivenUp))
 		return
 	case failed:
-		s.failedAttempts++ // giveUpItems gives the item up after the last one that is allowed
+		now := clock.Now()
+		s.recordFailedAttempt(engine.ID, now) // giveUpItems gives the item up after the last one that is allowed
+		engine.Load.Health.RecordFailure(now)
 	case crashed, notRun, interrupted:
 		if outcome == crashed {
 			s.crashedAt = clock.Now()
