Admission: requests wait a bounded time for a place at an engine

Where the queue is in use (a setting of tests until engines report their pace), a request now waits on its daemon if it is predicted to begin in time, for at most half of the route's targetLatencyMs: by the route's priority, weighted fair between workspaces. The end of a request here, a load report with fewer requests, or a new set of engines wakes the next one. Refusals name the forecast and tell when room is expected.

--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -49,6 +49,12 @@
 	// RateLimiters holds this daemon's rate limiter of each workspace.
 	// controller/rates writes it.
 	RateLimiters Section[*RateLimiters]
+	// Places holds the online requests that wait for a place at an engine, for
+	// controller/admission.
+	Places *PlaceQueue
+	// ServiceRuns holds what is known of the requests of each service that ran on this
+	// daemon, by the service's name. controller/admission writes it.
+	ServiceRuns Section[map[string]*ServiceRuns]
 	// Phase is the life-cycle phase of the process. Package daemon writes it.
 	Phase Section[Phase]
 	// BatchDemand is the batch work that waits on this daemon. controller/jobs
@@ -92,6 +98,7 @@
 	b.Jobs.Publish(NewJobs(nil))
 	b.RateLimiters.Publish(NewRateLimiters())
 	b.Quarantine.Publish(new(Quarantine))
+	b.Places = NewPlaceQueue()
 	b.Crashes = NewCrashQueue()
 	b.Evidence.Publish(new(Evidence))
 	b.PeerEvidence = NewEvidenceQueue()
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -69,6 +69,11 @@
 	Resumable bool
 	// Split lists the services that serve the route, with their weights.
 	Split []WeightedService
+	// Priority orders the requests that wait for an engine: 0 is the most urgent.
+	Priority int
+	// TargetLatency is the time to the start of the response that callers expect; 0 means
+	// that the configuration does not say.
+	TargetLatency time.Duration
 	// CompletionTarget is the time from a batch job's submission to its due time.
 	CompletionTarget time.Duration
 	// MaxAge is the age of a batch job from which its waiting items may be given
@@ -133,6 +138,9 @@
 	// Burst is the number of requests by which the workspace may exceed the rate for
 	// a short time: the capacity of its token bucket.
 	Burst float64
+	// Priority ranks the workspace among others that wait for an engine: one of a lower
+	// number gets a larger part of the places.
+	Priority int
 }
 
 // Content holds the parts of a configuration, from which New makes a Catalog.
@@ -192,6 +200,9 @@
 // Service returns the named service, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// Services returns all services by name. The caller must not modify the map.
+func (c *Catalog) Services() map[string]*Service { return c.services }
+
 // WorkspaceByKey returns the workspace that owns the key, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.keys[key] }
 
--- /dev/null
+++ b/controller/admission/admission.go
@@ -0,0 +1,128 @@
+// Package admission keeps the online requests that wait for a place at an engine, and gives
+// one after the other the turn to look for one when places become free.
+package admission
+
+import (
+	"context"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/policy/admission"
+)
+
+// Controller writes the number of waiting requests of the blackboard's Places, and the
+// ServiceRuns section.
+type Controller struct {
+	board    *blackboard.EntryBoard
+	services map[string]*service // with waiting requests
+}
+
+// service holds the waiting requests of a service.
+type service struct {
+	queue admission.Queue[*blackboard.WaitingRequest]
+	turn  *blackboard.WaitingRequest // has the turn, or had it last and found no place; nil if none
+	freed int64                      // Places.Freed when that turn began
+}
+
+// New returns a controller.
+func New(board *blackboard.EntryBoard) *Controller {
+	return &Controller{board: board, services: make(map[string]*service)}
+}
+
+// Run gives turns until ctx is done.
+func (c *Controller) Run(ctx context.Context) {
+	catalog, engines, phase := c.board.Catalog.Load(), c.board.Engines.Load(), c.board.Phase.Load()
+	c.publishRuns()
+	for {
+		select {
+		case w := <-c.board.Places.Joins:
+			c.join(w)
+		case <-c.board.Places.Wake:
+		case <-catalog.Changed():
+			catalog = c.board.Catalog.Load()
+			c.publishRuns()
+		case <-engines.Changed(): // one may be new
+			engines = c.board.Engines.Load()
+			c.board.Places.PlaceFreed()
+		case <-phase.Changed(): // a request that may not begin any more leaves in its turn
+			phase = c.board.Phase.Load()
+			c.board.Places.PlaceFreed()
+		case <-ctx.Done():
+			return
+		}
+		c.giveTurns()
+	}
+}
+
+// publishRuns publishes the ServiceRuns of the services in the catalog.
+func (c *Controller) publishRuns() {
+	cat := c.board.Catalog.Value()
+	if cat == nil {
+		return
+	}
+	old := c.board.ServiceRuns.Value()
+	next := make(map[string]*blackboard.ServiceRuns)
+	for name := range cat.Services() {
+		if next[name] = old[name]; next[name] == nil {
+			next[name] = new(blackboard.ServiceRuns)
+		}
+	}
+	c.board.ServiceRuns.Publish(next)
+}
+
+// join takes a request into its queue, or refuses it.
+func (c *Controller) join(w *blackboard.WaitingRequest) {
+	s := c.services[w.Service]
+	if s == nil {
+		s = new(service)
+		c.services[w.Service] = s
+	}
+	c.dropEnded(s)
+	for _, refused := range s.queue.Join(w.Arrival, c.board.PlaceCapacity(w.Service), w) {
+		refused.Value.Refuse(refused.Reason, refused.Forecast)
+	}
+}
+
+// giveTurns gives the turn of each service to the next request if the last one got a place, or
+// if places became free since it found none.
+func (c *Controller) giveTurns() {
+	waiting := 0
+	for name, s := range c.services {
+		c.dropEnded(s)
+		c.giveTurn(s)
+		waiting += s.queue.Len()
+		if s.queue.Len() == 0 {
+			delete(c.services, name)
+		}
+	}
+	c.board.Places.Waiting.Store(int64(waiting))
+}
+
+// dropEnded removes the requests that no longer wait.
+func (c *Controller) dropEnded(s *service) {
+	for _, w := range s.queue.All() {
+		ended, served := w.Ended()
+		switch {
+		case served:
+			s.queue.Served(w)
+		case ended:
+			s.queue.Left(w)
+		default:
+			continue
+		}
+		if s.turn == w {
+			s.turn = nil
+		}
+	}
+}
+
+// giveTurn gives the turn of one service.
+func (c *Controller) giveTurn(s *service) {
+	freed := c.board.Places.Freed()
+	if s.turn != nil && (s.turn.Looks() || s.freed == freed) {
+		return
+	}
+	next, ok := s.queue.Next()
+	if ok && next.GiveTurn() {
+		s.turn, s.freed = next, freed
+	}
+}
--- /dev/null
+++ b/controller/admission/admission_test.go
@@ -0,0 +1,85 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/policy/admission"
+)
+
+// newBoard returns a board with one engine of four slots, and runs a controller on it.
+func newBoard(t *testing.T) *blackboard.EntryBoard {
+	board := blackboard.NewEntryBoard()
+	board.Engines.Publish(blackboard.NewEngines([]*blackboard.Engine{{
+		Engine: &catalog.Engine{ID: "e", Service: "s", Slots: 4}, Load: new(blackboard.EngineLoad),
+	}}))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		New(board).Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return board
+}
+
+func join(board *blackboard.EntryBoard, priority int) *blackboard.WaitingRequest {
+	now := clock.Now()
+	w := blackboard.NewWaitingRequest("s", admission.Arrival{Now: now, Until: now.Add(time.Minute), Priority: priority, Workspace: "w", Weight: 1})
+	board.Places.Joins <- w
+	return w
+}
+
+// gets fails the test unless the request is told something soon.
+func gets(t *testing.T, w *blackboard.WaitingRequest) blackboard.Turn {
+	t.Helper()
+	select {
+	case turn := <-w.Turn:
+		return turn
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request did not get the turn")
+		return blackboard.Turn{}
+	}
+}
+
+func getsNothing(t *testing.T, w *blackboard.WaitingRequest) {
+	t.Helper()
+	select {
+	case <-w.Turn:
+		t.Fatal("the request got the turn without a free place")
+	case <-time.After(20 * time.Millisecond):
+	}
+}
+
+// TestFreePlaceGoesToTheMostUrgent guards against a turn that is lost, given without a free
+// place, or given to the one that waits longest.
+func TestFreePlaceGoesToTheMostUrgent(t *testing.T) {
+	board := newBoard(t)
+	first := join(board, 1)
+	gets(t, first)
+	board.Places.ReturnTurn(first, false)
+	urgent := join(board, 0)
+	getsNothing(t, urgent)
+	board.Places.PlaceFreed()
+	gets(t, urgent)
+	board.Places.ReturnTurn(urgent, true)
+	gets(t, first) // there may be more places
+	board.Places.Leave(first)
+	gets(t, join(board, 2))
+}
+
+// TestRequestThatCannotBeginInTimeIsRefused guards against requests that are held until their
+// limit although no place can become free by then.
+func TestRequestThatCannotBeginInTimeIsRefused(t *testing.T) {
+	board := newBoard(t)
+	now := clock.Now()
+	w := blackboard.NewWaitingRequest("s", admission.Arrival{Now: now, Until: now.Add(time.Millisecond), Workspace: "w", Weight: 1})
+	board.Places.Joins <- w
+	if turn := gets(t, w); turn.Refused != admission.TooLate {
+		t.Errorf("told %+v, want a refusal as too late", turn)
+	}
+}
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -188,12 +188,14 @@
 func (c *Controller) applyEngineCounts(before, after map[string]peer.EngineCounts) {
 	engines := c.board.Engines.Value()
 	at := clock.Now()
+	fewer := false // online requests at an engine
 	for id, counts := range after {
 		e := engines.ByID(id)
 		if e == nil {
 			continue
 		}
 		e.Load.PeerOnline.Add(counts[0] - before[id][0])
+		fewer = fewer || counts[0] < before[id][0]
 		e.Load.PeerBatch.Add(counts[1] - before[id][1])
 		if counts[2] > 0 {
 			e.Load.PeerReport.Record(counts[2], at)
@@ -204,9 +206,13 @@
 			if e := engines.ByID(id); e != nil {
 				e.Load.PeerOnline.Add(-counts[0])
 				e.Load.PeerBatch.Add(-counts[1])
+				fewer = fewer || counts[0] > 0
 			}
 		}
 	}
+	if fewer {
+		c.board.Places.PlaceFreed()
+	}
 }
 
 // RunSender adds up the other daemons' reports and sends one of its own, at regular
--- a/policy/queue/fair.go
+++ b/policy/queue/fair.go
@@ -60,6 +60,17 @@
 // Pop removes and returns the value to serve next. It returns false if the queue is
 // empty.
 func (q *Fair[T]) Pop() (T, bool) {
+	e := q.Peek()
+	if e == nil {
+		var none T
+		return none, false
+	}
+	q.Serve(e)
+	return e.Value, true
+}
+
+// Peek returns the entry to serve next, or nil if the queue is empty.
+func (q *Fair[T]) Peek() *Entry[T] {
 	var next *flow[T]
 	for _, f := range q.flows {
 		if len(f.entries) > 0 && (next == nil || f.servedBefore(next)) {
@@ -67,16 +78,47 @@
 		}
 	}
 	if next == nil {
-		var none T
-		return none, false
+		return nil
+	}
+	return next.entries[0]
+}
+
+// Serve removes the entry and counts it as service of its flow. It returns false if the
+// entry is no longer in the queue.
+func (q *Fair[T]) Serve(e *Entry[T]) bool {
+	f := q.flows[e.flow]
+	if f == nil {
+		return false
 	}
-	e := next.entries[0]
-	next.entries = next.entries[1:]
-	q.virtualTime = next.startTag
-	next.startTag += 1 / next.weight
+	i := slices.Index(f.entries, e)
+	if i < 0 {
+		return false
+	}
+	f.entries = slices.Delete(f.entries, i, i+1)
+	q.virtualTime = max(q.virtualTime, f.startTag)
+	f.startTag += 1 / f.weight
 	q.length--
 	q.dropIdleFlows()
-	return e.Value, true
+	return true
+}
+
+// Ahead returns about how many of the waiting entries would be served before a new one of
+// the named flow.
+func (q *Fair[T]) Ahead(name string, weight int) int {
+	own, turn := 0, q.virtualTime
+	w := float64(max(weight, 1))
+	if f := q.flows[name]; f != nil {
+		own = len(f.entries)
+		turn = max(turn, f.startTag)
+	}
+	turn += float64(own) / w // the start tag of the new entry
+	ahead := own
+	for other, f := range q.flows {
+		if other != name && len(f.entries) > 0 && f.startTag <= turn {
+			ahead += min(len(f.entries), int((turn-f.startTag)*f.weight)+1)
+		}
+	}
+	return ahead
 }
 
 // servedBefore reports whether f is served before g. Both must have entries.
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -197,9 +197,11 @@
 		WithRetryAfter(max(wait, minRateRetryAfter))
 }
 
-// candidates returns the service that the route picks by its weights, and the
-// engines of that service. The service is nil if the configuration lacks it.
-func (s *Server) candidates(identity *Identity) (*catalog.Service, []*blackboard.Engine) {
-	name := identity.Route.PickService(s.random())
+// candidates returns the named service and its engines. An empty name stands for the service
+// that the route picks by its weights. The service is nil if the configuration lacks it.
+func (s *Server) candidates(identity *Identity, name string) (*catalog.Service, []*blackboard.Engine) {
+	if name == "" {
+		name = identity.Route.PickService(s.random())
+	}
 	return identity.Catalog.Service(name), s.board.Engines.Value().OfService(name)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -20,6 +20,8 @@
 	cause    error           // why it failed, or nil
 	events   int             // received so far
 	written  bool            // the engine wrote a response to the request
+	board    *blackboard.EntryBoard
+	began    clock.Instant
 }
 
 // newAttempt returns an attempt at the engine that is not sent yet. It counts as a request
@@ -28,7 +30,7 @@
 	r.engineOnline, r.engineBusy = engine.OnlineRequestCount(), engine.RequestCount()
 	r.markTried(engine.ID)
 	engine.Load.Online.Add(1)
-	a := &attempt{engine: engine}
+	a := &attempt{engine: engine, board: r.server.board, began: clock.Now()}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	return a
 }
@@ -58,6 +60,7 @@
 		go closeLate(a.sent)
 	}
 	a.engine.Load.Online.Add(-1)
+	a.freePlace()
 }
 
 // closeLate closes a response that comes after its attempt was cancelled.
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -27,7 +27,7 @@
 			if err := r.checkDraining(); err != nil {
 				return err
 			}
-			engine, err := r.chooseAllowedEngine()
+			engine, err := r.chooseOrWait(ctx)
 			if err != nil {
 				return r.finalError(err)
 			}
@@ -38,6 +38,7 @@
 				return r.noPlaceError(ctx)
 			}
 			next = r.newAttempt(ctx, engine)
+			r.endTurn()
 		}
 		successor, err := r.run(ctx, next)
 		if err == nil {
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,6 +34,8 @@
 	log          *log.Logger
 	metrics      *Metrics
 	random       func() float64
+	// admissionQueue lets requests of all services wait for a place.
+	admissionQueue bool
 }
 
 // NewServer returns the server of a daemon in the data centre. The server uses the
@@ -64,6 +66,9 @@
 	unnumbered      bool // an event without a number was passed on
 	bodyStarted     bool // a part of a body that is no stream was passed on
 
+	service string                     // that the request waits for, or "" to pick one
+	turn    *blackboard.WaitingRequest // in which it chose an engine that does not count it yet, or nil
+
 	admittedAt               clock.Instant // when the rate admitted it
 	responseStartedAt        clock.Instant
 	engineOnline, engineBusy int // load of the last engine when it was chosen
--- a/relay/tried.go
+++ b/relay/tried.go
@@ -53,7 +53,7 @@
 // chooseEngine returns the engine for the next attempt, or nil if no engine can take
 // the request.
 func (r *activeRequest) chooseEngine() *blackboard.Engine {
-	service, engines := r.server.candidates(r.Identity)
+	service, engines := r.server.candidates(r.Identity, r.service)
 	if service == nil {
 		return nil
 	}
