Rates: a daemon that starts serves on the bucket's content as first read

While all daemons start, the first write of a shared bucket takes longer than 60 ms. The daemon then granted an overdraft by an estimate that knew nothing, found no token and refused every request as beyond the rate. The estimate now starts from the content that was read before the write, this daemon's even part of it until others report; a bucket that was not read is not said to be empty.

--- a/controller/rates/refiller.go
+++ b/controller/rates/refiller.go
@@ -29,12 +29,15 @@
 	averagedAt        clock.Instant
 	requestsPerSecond float64       // moving average of the requests that asked for a token
 	seeded            bool          // the estimate was raised to the shared bucket's content
+	known             bool          // the estimate rests on the shared bucket's content
+	firstRead         chan float64  // receives the bucket's content when it was read first
+	wasRead           bool          // a content was sent to firstRead
 	failedAt          clock.Instant // when the last call failed, or 0 if it succeeded
 }
 
 // newRefiller returns the refiller of a limiter that got no requests yet.
 func (c *Controller) newRefiller(workspace string, limiter *blackboard.RateLimiter) *refiller {
-	return &refiller{Controller: c, workspace: workspace, limiter: limiter, averagedAt: clock.Now()}
+	return &refiller{Controller: c, workspace: workspace, limiter: limiter, averagedAt: clock.Now(), firstRead: make(chan float64, 1)}
 }
 
 // run refills the limiter when its tokens run low, until ctx is done.
@@ -118,6 +121,11 @@
 		case result := <-done:
 			r.publishTaken(result, limit)
 			return
+		case tokens := <-r.firstRead:
+			r.seedAtStart(tokens, limit)
+			if needed != nil {
+				r.grantOverdraft(limit)
+			}
 		case <-late.C:
 			needed = r.limiter.RefillNeeded
 			r.grantOverdraft(limit)
@@ -164,6 +172,9 @@
 	estimate := r.advanceEstimate(r.limiter.Estimate.Value(), r.limiter, limit)
 	granted := estimate.EvenShare(r.board.Roster.Value().Size())
 	tokens := granted + unused - settled
+	if tokens == 0 && !r.known && r.failedAt == 0 {
+		return // the bucket was not read yet and may be full
+	}
 	if tokens == 0 {
 		wait := max(estimate.Wait(limit), minEmptyWait)
 		r.limiter.Grant.Publish(blackboard.NewGrant(0, 0, now.Add(wait)))
@@ -204,6 +215,25 @@
 	r.limiter.Grant.Publish(blackboard.NewGrant(tokens, now.Add(bucket.GrantLifetime(limit)), 0))
 }
 
+// seedAtStart raises the estimate to the content of the bucket as it was first read. The
+// daemon then need not wait until its first write is done, which takes long while all
+// daemons start. Until others report what they admit, only this daemon's even part counts,
+// so that all together stay within the content. It does nothing until the daemon knows how
+// many others use the bucket, or if its part is less than one token.
+func (r *refiller) seedAtStart(tokens float64, limit bucket.Limit) {
+	part := tokens * r.board.ReportingFraction()
+	if r.board.Roster.Value().Loaded && (part >= 1 || tokens < 1) {
+		r.known = true
+		r.raiseEstimate(part, limit)
+	}
+}
+
+func (r *refiller) raiseEstimate(tokens float64, limit bucket.Limit) {
+	r.limiter.Estimate.Update(func(old bucket.Estimate) bucket.Estimate {
+		return r.advanceEstimate(old, r.limiter, limit).RaisedTo(tokens)
+	})
+}
+
 // seedEstimate raises the estimate to what the shared bucket holds, once: a daemon that
 // has just started has seen no admissions. It does not do so later, since the bucket does
 // not show what daemons granted on overdraft.
@@ -211,10 +241,8 @@
 	if r.seeded {
 		return
 	}
-	r.seeded = true
-	r.limiter.Estimate.Update(func(old bucket.Estimate) bucket.Estimate {
-		return r.advanceEstimate(old, r.limiter, limit).RaisedTo(r.state.Tokens)
-	})
+	r.seeded, r.known = true, true
+	r.raiseEstimate(r.state.Tokens, limit)
 }
 
 // recordFailure records a call that failed and grants tokens on overdraft. It ignores calls
--- a/controller/rates/take.go
+++ b/controller/rates/take.go
@@ -67,6 +67,10 @@
 	if len(resp.Rows) > 0 {
 		r.decodeBucket(resp.Rows[0])
 	}
+	if !r.wasRead {
+		r.wasRead = true
+		r.firstRead <- r.state.Refill(limit, resp.StoreTime).Tokens
+	}
 	return nil
 }
 
