--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -52,6 +52,9 @@
 	// Places holds the online requests that wait for a place at an engine, for
 	// controller/admission.
 	Places *PlaceQueue
+	// AdmissionQueue lets all services use the admission queue. It is set before the daemon
+	// serves.
+	AdmissionQueue atomic.Bool
 	// ServiceRuns holds what is known of the requests of each service that ran on this
 	// daemon, by the service's name. controller/admission writes it.
 	ServiceRuns Section[map[string]*ServiceRuns]
--- a/blackboard/places.go
+++ b/blackboard/places.go
@@ -158,6 +158,11 @@
 // UsualRun returns the mean time that a request is at an engine, or 0 if it is not known.
 func (s *ServiceRuns) UsualRun() time.Duration { return time.Duration(s.usual.Load()) }
 
+// UsesAdmissionQueue reports whether online requests of the service wait for a place when all
+// its engines are full, and whether its batch items give way to a rise of them. Engines that
+// report their pace are not told apart yet, so that only AdmissionQueue decides.
+func (b *EntryBoard) UsesAdmissionQueue(_ string) bool { return b.AdmissionQueue.Load() }
+
 // PlaceCapacity returns what the daemon knows of how fast places at the engines of the service
 // become free.
 func (b *EntryBoard) PlaceCapacity(service string) admission.Capacity {
--- a/controller/jobs/schedule.go
+++ b/controller/jobs/schedule.go
@@ -23,7 +23,7 @@
 		if !e.IsUsable() {
 			continue // a draining engine finishes what it runs
 		}
-		count, reason := placement.ItemsToPreempt(e, rand.Float64()), "gives way to online requests"
+		count, reason := placement.ItemsToYield(e, c.trends[e.Service].reserve, rand.Float64()), "gives way to online requests"
 		if e.Load.Health.IsSlow(now) {
 			count, reason = int(e.Load.Batch.Load()), "leaves a slow engine"
 		}
@@ -128,6 +128,7 @@
 		PeersWithBatchDemand:     int(c.board.PeersWithBatchDemand.Load()),
 		NearPeersWithBatchDemand: int(c.board.NearPeersWithBatchDemand.Load()),
 		Interval:                 schedulingInterval,
+		Reserve:                  c.trends[service.Name].reserve,
 	}
 	query.Tried = s.failedRecently
 	engine := placement.ChooseForBatch(c.board.Engines.Value().OfService(service.Name), &query)
--- a/relay/place.go
+++ b/relay/place.go
@@ -14,19 +14,15 @@
 // refusal and the new request take about as long to travel.
 const minPlaceRetryAfter = 50 * time.Millisecond
 
-// usesAdmissionQueue reports whether requests of the service wait for a place when all its
-// engines are full. Engines that report their pace are not told apart yet.
-func (s *Server) usesAdmissionQueue(_ string) bool { return s.admissionQueue }
-
 // chooseOrWait is chooseAllowedEngine, except that a request that has not run waits a short
 // time for a place, behind those that wait already, if its service uses the queue.
 func (r *activeRequest) chooseOrWait(ctx context.Context) (*blackboard.Engine, error) {
-	if !r.server.admissionQueue || r.runs > 0 || r.Route.TargetLatency <= 0 {
+	if r.runs > 0 || r.Route.TargetLatency <= 0 {
 		return r.chooseAllowedEngine()
 	}
 	r.service = r.Route.PickService(r.server.random())
 	defer func() { r.service = "" }()
-	uses := r.server.usesAdmissionQueue(r.service)
+	uses := r.server.board.UsesAdmissionQueue(r.service)
 	if !uses || r.server.board.Places.Waiting.Load() == 0 {
 		if engine, err := r.chooseAllowedEngine(); !uses || engine != nil || err != nil {
 			return engine, err
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -80,7 +80,7 @@
 // that requests have, and against a wait that no free place ends.
 func TestRequestsWaitForAPlace(t *testing.T) {
 	s, identity := newBusyServer(t, 50*time.Millisecond)
-	s.admissionQueue = true
+	s.board.AdmissionQueue.Store(true)
 	for range 2 {
 		s.board.ServiceRuns.Value()["s"].RecordRun(50 * time.Millisecond)
 	}
@@ -98,7 +98,7 @@
 // and against a constant retry time for them.
 func TestRequestThatCannotBeginIsRefusedWithAForecast(t *testing.T) {
 	s, identity := newBusyServer(t, 300*time.Millisecond)
-	s.admissionQueue = true
+	s.board.AdmissionQueue.Store(true)
 	s.board.ServiceRuns.Value()["s"].RecordRun(time.Minute)
 	var refused []*result.Error
 	for _, err := range serveAtOnce(t, s, identity, 5) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,8 +34,6 @@
 	log          *log.Logger
 	metrics      *Metrics
 	random       func() float64
-	// admissionQueue lets requests of all services wait for a place.
-	admissionQueue bool
 }
 
 // NewServer returns the server of a daemon in the data centre. The server uses the
