Metrics: refusals by reason, and by the ten workspaces with the most

Refusals could be counted by result code only. The log line's detail holds the inputs of the decision with their age.

--- a/blackboard/ratelimiters.go
+++ b/blackboard/ratelimiters.go
@@ -39,8 +39,9 @@
 	// Returns is the virtual queue of the callers that this daemon told to come back when
 	// the shared bucket has tokens again. The path of a request writes it.
 	Returns admission.ReturnQueue
-	// Refused counts the requests that this daemon refused because of the rate.
-	Refused atomic.Int64
+	// Refused counts the requests that this daemon refused because of the rate, and
+	// RefusedPlace those that it refused because no engine had a place in time.
+	Refused, RefusedPlace atomic.Int64
 	// RefillNeeded wakes controller/rates when the tokens run low. Its capacity is one:
 	// a full channel means that the wake-up is pending.
 	RefillNeeded chan struct{}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -135,6 +135,7 @@
 	registerEntryMetrics(reg, e.board)
 	e.roster = roster.New(e.board, rows, self, e.log)
 	metrics := relay.NewMetrics(reg)
+	reg.MustRegister(relay.NewRefusalCollector(e.board))
 	e.jobs = jobs.New(e.board, rows, jobs.Engines{
 		Client: engines, Crashes: relay.NewCrashDetector(e.board, engines, metrics, e.log), Segments: platform.ItemSegments,
 	}, self, e.log)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -16,6 +16,7 @@
 type Metrics struct {
 	requests   *prometheus.CounterVec // by result
 	incomplete *prometheus.CounterVec // by result
+	refusals   *prometheus.CounterVec // by reason
 	retries    prometheus.Counter
 	crashes    prometheus.Counter
 	admission  prometheus.Histogram // seconds
@@ -34,6 +35,10 @@
 			Name: "baobab_relay_incomplete_responses_total",
 			Help: "Responses that had begun and ended before they were complete, by the name of their result code.",
 		}, []string{"result"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "baobab_relay_refusals_total",
+			Help: "Requests refused by their workspace's rate or for want of a place at an engine, by reason.",
+		}, []string{"reason"}),
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "baobab_relay_retries_total",
 			Help: "Attempts after the first one of a request.",
@@ -53,7 +58,7 @@
 			Buckets: []float64{0.03, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1, 2, 5},
 		}),
 	}
-	reg.MustRegister(m.requests, m.incomplete, m.retries, m.crashes, m.admission, m.firstEvent)
+	reg.MustRegister(m.requests, m.incomplete, m.refusals, m.retries, m.crashes, m.admission, m.firstEvent)
 	return m
 }
 
--- a/relay/place.go
+++ b/relay/place.go
@@ -57,7 +57,7 @@
 			}
 		case <-timeout.C:
 			places.Leave(w)
-			return nil, r.placeRefusal(result.QueueTimeout, "waited in vain", r.forecast())
+			return nil, r.placeRefusal(result.QueueTimeout, reasonTimeout, r.forecast())
 		case <-ctx.Done():
 			places.Leave(w)
 			if err := StopError(ctx); err != nil {
@@ -119,8 +119,9 @@
 // placeRefusal returns the error of a request that gets no place. It tells the caller when
 // room is expected for it, behind the callers that were told so before, and what that rests on.
 func (r *activeRequest) placeRefusal(code result.Code, reason string, f admission.Forecast) error {
-	refusal := result.Errorf(code, "%s: %d requests ahead, predicted wait %v; %d places, usual run %v, share here %.3f, own running %d, others' counts up to %v old",
-		reason, f.Ahead, f.Wait.Round(time.Millisecond), f.Capacity.Places, f.Capacity.UsualRun.Round(time.Millisecond),
+	r.server.countPlaceRefusal(r.WorkspaceName(), reason)
+	refusal := result.Errorf(code, "workspace %s, %s: %d requests ahead, predicted wait %v; %d places, usual run %v, share here %.3f, own running %d, others' counts up to %v old",
+		r.WorkspaceName(), reason, f.Ahead, f.Wait.Round(time.Millisecond), f.Capacity.Places, f.Capacity.UsualRun.Round(time.Millisecond),
 		f.Capacity.Share, f.Capacity.OwnRunning, f.Capacity.Age)
 	runs := r.server.board.ServiceRuns.Value()[r.service]
 	if runs == nil {
@@ -136,6 +137,14 @@
 	return refusal.WithRetryAfter(max(back.After, minPlaceRetryAfter))
 }
 
+// countPlaceRefusal counts a request of the workspace that gets no place.
+func (s *Server) countPlaceRefusal(workspace, reason string) {
+	s.metrics.refusals.WithLabelValues(reason).Inc()
+	if limiter := s.board.RateLimiters.Value().ByWorkspace[workspace]; limiter != nil {
+		limiter.RefusedPlace.Add(1)
+	}
+}
+
 // freePlace tells waiting requests that the attempt has ended, and records how long it took.
 func (a *attempt) freePlace() {
 	a.board.Places.PlaceFreed()
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -88,6 +88,9 @@
 	if r.runs > 0 && ctx.Err() != nil {
 		return r.contextError(ctx)
 	}
+	if r.runs == 0 {
+		r.server.countPlaceRefusal(r.WorkspaceName(), reasonFull)
+	}
 	return r.finalError(result.New(result.NoUpstream, result.NotRun).WithRetryAfter(busyRetryAfter))
 }
 
--- a/relay/return.go
+++ b/relay/return.go
@@ -30,6 +30,7 @@
 	}
 	limiter.Refused.Add(1)
 	if req.CallerTimeout <= 0 {
+		s.metrics.refusals.WithLabelValues(reasonRate).Inc()
 		return refusal
 	}
 	now := clock.Now()
@@ -39,6 +40,11 @@
 		Now: now, Earliest: refusal.RetryAfter, Debt: estimate.Wait(bucket.Limit{Rate: w.Rate}), PerSecond: share * w.Rate,
 		CallerLeft: req.timeLeft(now), Random: s.random(),
 	})
+	reason := reasonRate
+	if back.Late {
+		reason = reasonRateLate
+	}
+	s.metrics.refusals.WithLabelValues(reason).Inc()
 	return result.Errorf(refusal.Code, "%s; back in %v, late %t, told to come back before it until %v; share here %.3f, estimate %.1f tokens, %v old, heard part %.2f",
 		refusal.Text(), back.After.Round(time.Millisecond), back.Late, back.Waiting.Round(time.Millisecond),
 		share, estimate.Tokens(), estimate.Age(now).Round(time.Millisecond), s.board.ReportingFraction()).WithRetryAfter(back.After)
