Admission: a workspace that uses all of its rate stands behind others everywhere

A daemon that sees few requests of a workspace beyond its rate gave it as many places as any other. Its weight is now halved while the estimate of its shared bucket, which counts the admissions of all daemons, is below a quarter of the burst.

--- a/policy/admission/load_test.go
+++ b/policy/admission/load_test.go
@@ -199,3 +199,23 @@
 		t.Errorf("%d of 18 places went to the urgent route, want 16", urgent)
 	}
 }
+
+// TestExcessOnOtherDaemonsCountsHere guards against a workspace that uses all of its rate over
+// the fleet and delays others on a daemon that sees few of its requests.
+func TestExcessOnOtherDaemonsCountsHere(t *testing.T) {
+	var o order[string]
+	for range 12 {
+		o.push(0, "hot", Weight(0, true), "hot")
+		o.push(0, "quiet", Weight(0, false), "quiet")
+	}
+	quiet := 0
+	for range 9 {
+		p, _ := o.next()
+		if o.serve(p); p.entry.Value == "quiet" {
+			quiet++
+		}
+	}
+	if quiet != 6 {
+		t.Errorf("%d of 9 places went to the quiet workspace, want 6", quiet)
+	}
+}
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -120,5 +120,13 @@
 }
 
 // Weight returns the weight of a workspace of the given priority: half of that of the next
-// more urgent one.
-func Weight(priority int) int { return max(1, 1<<max(0, 4-max(priority, 0))) }
+// more urgent one, and half again while it uses all of its rate, by what this and the other
+// daemons admitted of it. Its requests on all daemons then stand behind those of workspaces
+// that use less.
+func Weight(priority int, usesAll bool) int {
+	weight := 1 << max(0, 5-max(priority, 0))
+	if usesAll {
+		weight /= 2
+	}
+	return max(weight, 1)
+}
--- a/relay/place.go
+++ b/relay/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/policy/admission"
 	"github.com/baobablanding/baobablanding/result"
@@ -98,8 +99,8 @@
 // arrival returns the request as it joins the queue.
 func (r *activeRequest) arrival() admission.Arrival {
 	a := admission.Arrival{Now: clock.Now(), Priority: r.Route.Priority, Workspace: r.WorkspaceName(), Weight: 1}
-	if r.Workspace != nil {
-		a.Weight = admission.Weight(r.Workspace.Priority)
+	if w := r.Workspace; w != nil {
+		a.Weight = admission.Weight(w.Priority, r.server.usesAllOfRate(w))
 	}
 	var usual time.Duration
 	if runs := r.server.board.ServiceRuns.Value()[r.service]; runs != nil {
@@ -109,6 +110,21 @@
 	return a
 }
 
+// scarceFraction is the part of the burst below which the estimate of a shared bucket shows
+// that the workspace uses all of its rate.
+const scarceFraction = 0.25
+
+// usesAllOfRate reports whether the workspace uses all of its rate, over all daemons. It is
+// false until the estimate of the bucket is known.
+func (s *Server) usesAllOfRate(w *catalog.Workspace) bool {
+	limiter := s.board.RateLimiters.Value().ByWorkspace[w.Name]
+	if limiter == nil {
+		return false
+	}
+	estimate := limiter.Estimate.Value()
+	return estimate.Age(clock.Now()) > 0 && estimate.Tokens() < scarceFraction*w.Burst
+}
+
 // forecast returns when a new request behind all that wait would get a place.
 func (r *activeRequest) forecast() admission.Forecast {
 	f := admission.Forecast{Ahead: int(r.server.board.Places.Waiting.Load()), Capacity: r.server.board.PlaceCapacity(r.service)}
