Admission: reservations end with the time in which callers come back

One refusal at a daemon with a small part of a rate reserved up to an hour, so that single refusals after it were told the latest time. A reservation now lasts at most that time, and no caller is told more than 5 s. A request whose deadline ends its wait is refused as such.

--- a/policy/admission/returns.go
+++ b/policy/admission/returns.go
@@ -15,15 +15,18 @@
 	returnFraction = 1.0 / 3
 	// answerTime is the part of the caller's time that the refusal may need to reach it.
 	answerTime = 30 * time.Millisecond
+	// maxReturn bounds the time that callers without a short time limit are told. Loads
+	// change within a few seconds, so that a later prediction would say nothing.
+	maxReturn = 5 * time.Second
 	// spreadFraction is the part of the latest time by which callers are spread that
 	// would all be told that time.
 	spreadFraction = 0.1
 )
 
-// LatestReturn returns the longest Retry-After that a caller honours that has the given time
-// left.
+// LatestReturn returns the longest Retry-After that is told to a caller that has the given
+// time left. The caller honours it.
 func LatestReturn(left time.Duration) time.Duration {
-	return max(time.Duration(float64(left-answerTime)*returnFraction), 0)
+	return max(min(time.Duration(float64(left-answerTime)*returnFraction), maxReturn), 0)
 }
 
 // ReturnQueue is the virtual queue of the callers that one daemon refused and told to come
@@ -67,8 +70,8 @@
 // empty queue that is r.Earliest.
 func (q *ReturnQueue) Join(r Refusal) Return {
 	first := r.Now.Add(r.Earliest)
-	step := stepOf(r.PerSecond)
 	latest := LatestReturn(r.CallerLeft)
+	step := min(stepOf(r.PerSecond), latest) // by then the caller has come back or never will
 	for {
 		tail := q.tail.Load()
 		if clock.Instant(tail) <= first {
--- a/policy/admission/returns_test.go
+++ b/policy/admission/returns_test.go
@@ -83,7 +83,7 @@
 func TestCallerThatIsRefusedAloneKeepsItsTime(t *testing.T) {
 	var q ReturnQueue
 	for now := clock.Instant(1); now < clock.Instant(time.Minute); now = now.Add(2 * time.Second) {
-		r := q.Join(Refusal{Now: now, Earliest: 200 * time.Millisecond, PerSecond: 1, CallerLeft: 5 * time.Second, Random: 0.9})
+		r := q.Join(Refusal{Now: now, Earliest: 200 * time.Millisecond, PerSecond: 0.01, CallerLeft: 5 * time.Second, Random: 0.9})
 		if r.After != 200*time.Millisecond {
 			t.Fatalf("told %v, want 200ms", r.After)
 		}
--- a/relay/place.go
+++ b/relay/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -61,14 +62,22 @@
 			return nil, r.placeRefusal(result.QueueTimeout, reasonTimeout, r.forecast())
 		case <-ctx.Done():
 			places.Leave(w)
-			if err := StopError(ctx); err != nil {
-				return nil, err
-			}
-			return nil, result.New(result.CallerGone, result.NotRun)
+			return nil, r.waitEnded(ctx)
 		}
 	}
 }
 
+// waitEnded returns the error of a request whose context ended while it waited.
+func (r *activeRequest) waitEnded(ctx context.Context) error {
+	if err := StopError(ctx); err != nil {
+		return err
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return r.placeRefusal(result.QueueTimeout, reasonTimeout, r.forecast())
+	}
+	return result.New(result.CallerGone, result.NotRun)
+}
+
 // look looks for an engine in the request's turn.
 func (r *activeRequest) look(w *blackboard.WaitingRequest) (*blackboard.Engine, error) {
 	places := r.server.board.Places
