--- a/relay/retry.go
+++ b/relay/retry.go
@@ -27,7 +27,7 @@
 			if err := r.checkDraining(); err != nil {
 				return err
 			}
-			engine, err := r.chooseAllowedEngine()
+			engine, err := r.chooseOrWait(ctx)
 			if err != nil {
 				return r.finalError(err)
 			}
@@ -38,6 +38,7 @@
 				return r.noPlaceError(ctx)
 			}
 			next = r.newAttempt(ctx, engine)
+			r.endTurn()
 		}
 		successor, err := r.run(ctx, next)
 		if err == nil {
@@ -87,6 +88,9 @@
 	if r.runs > 0 && ctx.Err() != nil {
 		return r.contextError(ctx)
 	}
+	if r.runs == 0 {
+		r.server.countPlaceRefusal(r.WorkspaceName(), reasonFull)
+	}
 	return r.finalError(result.New(result.NoUpstream, result.NotRun).WithRetryAfter(busyRetryAfter))
 }
 
