Jobs: run items with a quarantined segment as trials, under a lease

Cause: an item with a quarantined segment waited for the one trial of the fleet, a minute after the last crash, which belonged to a daemon drawn among all. A job is due 18 s after its submission, so its items had neither a run nor a result by then, whether the finding was right or not.

Change: controller/trials takes a trial for the items that wait on its daemon, by a row of the store for each segment with the number of trials, the time of the last one, the holder and the end of the lease. The first is due 10 s after the last crash, then 20, 40, ... s, up to 10 minutes. A trial that no engine had room for is given back. Items no longer use the trials of online requests, which stay as they were. Held items are counted by reason, and a job held beyond its due time is logged once. A new owner pauses items of suspected segments.

TestOneItemRunsAsTrial expected that an item runs as the trial of a window; that trial now belongs to online requests, so the test asks for a lease instead and for no run without one.

--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -57,6 +57,11 @@
 	// Quarantine is the set of prompt segments that crash engines.
 	// controller/quarantine writes it.
 	Quarantine Section[*Quarantine]
+	// HeldSegments is the set of quarantined segments for whose trial batch items wait.
+	// controller/jobs writes it.
+	HeldSegments Section[*HeldSegments]
+	// ItemTrials is what is known of trials by batch items. controller/trials writes it.
+	ItemTrials Section[*ItemTrials]
 	// Crashes holds the crashes of engines that requests saw, for
 	// controller/quarantine.
 	Crashes *CrashQueue
@@ -92,6 +97,8 @@
 	b.Jobs.Publish(NewJobs(nil))
 	b.RateLimiters.Publish(NewRateLimiters())
 	b.Quarantine.Publish(new(Quarantine))
+	b.HeldSegments.Publish(new(HeldSegments))
+	b.ItemTrials.Publish(new(ItemTrials))
 	b.Crashes = NewCrashQueue()
 	b.Evidence.Publish(new(Evidence))
 	b.PeerEvidence = NewEvidenceQueue()
@@ -155,4 +162,26 @@
 type BatchDemand struct {
 	// WaitingItems is the number of batch items that wait for an engine.
 	WaitingItems int
+	// Held is the number of all batch items that wait, by reason.
+	Held [HoldReasons]int
+}
+
+// HoldReason says why a batch item waits.
+type HoldReason int
+
+// Reasons why items wait.
+const (
+	HeldForEngine    HoldReason = iota // no engine has room, or others go first
+	HeldByQuarantine                   // a segment is quarantined
+	HeldAfterCrash                     // an engine crashed with the item a moment ago
+	HeldByAttempts                     // its attempts are used up, to be confirmed
+	HeldByRoute                        // its route is gone or its job too old, to be confirmed
+	HeldWithoutStore                   // this daemon does not reach the store
+	HeldByLeaving                      // this daemon stops and hands its jobs over
+	HoldReasons      = iota
+)
+
+// String returns the reason as it is logged.
+func (r HoldReason) String() string {
+	return [HoldReasons]string{"no_engine", "quarantine", "after_crash", "attempts", "route", "no_store", "leaving"}[r]
 }
--- a/blackboard/trial.go
+++ b/blackboard/trial.go
@@ -14,6 +14,7 @@
 	// Segments are the shared segments of the prompt.
 	Segments []Segment
 	trials   []*Quarantined // that the request took
+	lease    *TrialLease    // that the batch item took, or nil
 }
 
 // Fork returns a copy for another goroutine.
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -38,7 +38,7 @@
 	maxRunningItems = 160
 )
 
-// Controller writes the blackboard's Jobs and BatchDemand sections. Unless noted
+// Controller writes the blackboard's Jobs, BatchDemand and HeldSegments sections. Unless noted
 // otherwise, its fields belong to the goroutine of Run.
 type Controller struct {
 	board   *blackboard.EntryBoard
@@ -57,6 +57,7 @@
 	runTime      due.RunTime               // of completed items
 	draining     atomic.Bool               // set by Drain
 	outage       bool                      // the store was last found to be unavailable for all daemons
+	stopped      bool                      // no item was allowed to start in the last pass
 }
 
 // New returns a controller that runs items on engines and owns jobs as self.
@@ -81,6 +82,8 @@
 	saving      bool
 	savedAt     clock.Instant
 	handingOver bool             // a hand-over is under way
+	takenOver   bool             // another daemon probably ran the items before
+	heldLogged  bool             // that items wait although the job is due was logged
 	giveUp      confirm.Decision // to give up all items that wait
 }
 
@@ -132,19 +135,27 @@
 	}
 }
 
-// publishDemand publishes how many items wait on this daemon. It counts only those
-// that may start, of jobs whose next item can probably finish on time.
+// publishDemand publishes how many items wait on this daemon, why, and for the trial of which
+// segments. Of those that may start it counts the ones of jobs whose next item can probably
+// finish on time.
 func (c *Controller) publishDemand() {
-	waiting := 0
+	var demand blackboard.BatchDemand
+	var held heldSets
 	now := c.board.StoreNow()
 	for _, o := range c.owned {
+		holds := c.countHolds(o, &held)
 		if len(o.waiting) > 0 && c.dueJob(o.waiting[0]).CanFinishOnTime(now) {
-			waiting += c.countStartable(o)
+			demand.WaitingItems += holds[blackboard.HeldForEngine]
 		}
+		for reason, n := range holds {
+			demand.Held[reason] += n
+		}
+		c.logHeldJob(o, &holds, now)
 	}
-	if c.board.BatchDemand.Value().WaitingItems != waiting {
-		c.board.BatchDemand.Publish(blackboard.BatchDemand{WaitingItems: waiting})
+	if c.board.BatchDemand.Value() != demand {
+		c.board.BatchDemand.Publish(demand)
 	}
+	held.publish(c.board)
 }
 
 // Drain makes Run hand over the jobs to other daemons and start no more items. It may be
--- a/controller/jobs/ownership.go
+++ b/controller/jobs/ownership.go
@@ -48,7 +48,10 @@
 // takeUp adds a job that this daemon owns.
 func (c *Controller) takeUp(key job.Key, head *job.VersionedHead) {
 	now := clock.Now()
-	c.owned[key] = &ownedJob{key: key, head: head, savedAt: now, running: make(map[int]*itemState)}
+	c.owned[key] = &ownedJob{
+		key: key, head: head, savedAt: now, running: make(map[int]*itemState),
+		takenOver: c.board.StoreNow()-head.Submitted > claimDelay,
+	}
 	c.log.Info().Str("job", key.ID).Str("workspace", key.Workspace).Int64("head_version", head.Version).
 		Int("items", head.Total).Int("done", len(head.Done)).Msg("batch job is run by this daemon")
 }
@@ -158,6 +161,9 @@
 		if checkpoint, ok := checkpoints[i]; ok {
 			state.restore(checkpoint)
 		}
+		if o.takenOver && c.isSuspected(state) {
+			state.crashedAt = clock.Now()
+		}
 		o.waiting = append(o.waiting, state)
 	}
 }
--- a/controller/jobs/quarantine.go
+++ b/controller/jobs/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -26,18 +27,66 @@
 	Segments func(header map[string]string) []blackboard.Segment
 }
 
-// mayStart reports whether the item may run now: its segments are not quarantined, or it is
-// their trial, and it does not wait after a crash.
+// mayStart reports whether the item may run now: its segments are not quarantined, or it may
+// be their trial, and it does not wait after a crash.
 func (c *Controller) mayStart(s *itemState, now clock.Instant) bool {
 	quarantine := c.board.Quarantine.Value()
 	if s.crashedAt == 0 && len(quarantine.BySegment) == 0 {
 		return true
 	}
-	if _, blocked := s.gate.Blocked(quarantine, now); blocked {
-		return false
-	}
+	return !s.gate.ItemBlocked(quarantine, c.board.ItemTrials.Value(), now) && !c.pausesAfterCrash(s, now)
+}
+
+// pausesAfterCrash reports whether the item waits because an engine crashed with it.
+func (c *Controller) pausesAfterCrash(s *itemState, now clock.Instant) bool {
 	pause := now.Sub(s.crashedAt)
-	return s.crashedAt == 0 || pause >= maxCrashPause || pause >= minCrashPause && c.isSound(s, now)
+	return s.crashedAt != 0 && pause < maxCrashPause && (pause < minCrashPause || !c.isSound(s, now))
+}
+
+// isSuspected reports whether an engine crashed lately under a request with a segment of the
+// item, and nothing else is known of that segment. The previous owner of the item may have seen
+// that crash; the checkpoint does not say so.
+func (c *Controller) isSuspected(s *itemState) bool {
+	suspected := c.board.Quarantine.Value().Suspected
+	return slices.ContainsFunc(s.gate.Segments, func(segment blackboard.Segment) bool {
+		return suspected[segment] && !c.board.SoundSegments.IsSound(segment, clock.Now())
+	})
+}
+
+// wouldBeTrial reports whether the item, which may start, has a quarantined segment.
+func (c *Controller) wouldBeTrial(s *itemState) bool {
+	return len(s.gate.Quarantined(c.board.Quarantine.Value())) > 0
+}
+
+// isUnansweredTrial reports whether the running item is a trial to which the engine has not
+// written a response yet. Such a run is not preempted, since the trial would be lost; it ends
+// by itself within quarantine.ItemTrialRunTime.
+func (c *Controller) isUnansweredTrial(s *itemState) bool {
+	return s.gate.Lease() != nil && !c.answeredSince(s, s.startedAt)
+}
+
+// answeredSince reports whether engines have answered requests with each of the segments of the
+// item's lease since the time.
+func (c *Controller) answeredSince(s *itemState, since clock.Instant) bool {
+	for _, segment := range s.gate.Lease().Segments {
+		if at, ok := c.board.SoundSegments.AnsweredAt(segment); !ok || at < since {
+			return false
+		}
+	}
+	return true
+}
+
+// endTrial ends the lease of an item whose run ended.
+func (c *Controller) endTrial(s *itemState, outcome runOutcome) {
+	switch {
+	case s.gate.Lease() == nil:
+	case outcome == notRun:
+		s.gate.EndLease(blackboard.TrialNotSent)
+	case c.answeredSince(s, s.startedAt):
+		s.gate.EndLease(blackboard.TrialAnswered)
+	default:
+		s.gate.EndLease(blackboard.TrialSpent)
+	}
 }
 
 // isSound reports whether all segments of the item are known to be sound.
@@ -50,38 +99,35 @@
 	return true
 }
 
-// selectNext moves the first item of the job that may start to the front of those that wait.
-// It reports false if there is none.
+// selectNext moves the first item of the job that may start to the front of those that wait,
+// before others one that would be a trial. It reports false if there is none.
 func (c *Controller) selectNext(o *ownedJob) bool {
 	route, _ := c.startableRoute(o)
 	if route == nil {
 		return false
 	}
 	now := clock.Now()
+	hasLease := len(c.board.ItemTrials.Value().Leases) > 0
+	next := -1
 	for i, s := range o.waiting {
-		if !s.isExhausted(route) && c.mayStart(s, now) {
-			copy(o.waiting[1:i+1], o.waiting[:i])
-			o.waiting[0] = s
-			return true
+		if s.isExhausted(route) || !c.mayStart(s, now) {
+			continue
 		}
-	}
-	return false
-}
-
-// countStartable returns the number of items of the job that wait and may start.
-func (c *Controller) countStartable(o *ownedJob) int {
-	route, _ := c.startableRoute(o)
-	if route == nil {
-		return 0
-	}
-	now := clock.Now()
-	n := 0
-	for _, s := range o.waiting {
-		if !s.isExhausted(route) && c.mayStart(s, now) {
-			n++
+		isTrial := hasLease && c.wouldBeTrial(s)
+		if next < 0 || isTrial {
+			next = i
+		}
+		if isTrial || !hasLease {
+			break
 		}
 	}
-	return n
+	if next < 0 {
+		return false
+	}
+	s := o.waiting[next]
+	copy(o.waiting[1:next+1], o.waiting[:next])
+	o.waiting[0] = s
+	return true
 }
 
 // checkCrash returns crashed instead of interrupted if the engine crashed with the item.
--- a/controller/jobs/quarantine_test.go
+++ b/controller/jobs/quarantine_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
@@ -79,13 +82,93 @@
 	}
 }
 
-// TestOneItemRunsAsTrial guards against several items that run as the trial of one segment.
+// TestOneItemRunsAsTrial guards against several items that run as the trial of one segment, and
+// against one that runs without a lease, which the rest of the fleet would not know of.
 func TestOneItemRunsAsTrial(t *testing.T) {
-	for mayTry, want := range map[bool]int{true: 1, false: 0} {
+	for name, want := range map[string]int{"lease": 1, "lease of another segment": 0, "lease that ended": 0, "trial of online requests": 0} {
 		c, o := newSegmentController(0, 1, 1, 1)
-		quarantine(c, clock.Now(), mayTry)
+		quarantine(c, clock.Now(), name == "trial of online requests")
+		lease := blackboard.NewTrialLease([]blackboard.Segment{1}, clock.Now().Add(time.Minute))
+		switch name {
+		case "lease of another segment":
+			lease.Segments = []blackboard.Segment{2}
+		case "lease that ended":
+			lease.StartBefore = clock.Now()
+		case "trial of online requests":
+			lease.Expire()
+		}
+		c.board.ItemTrials.Publish(&blackboard.ItemTrials{Leases: []*blackboard.TrialLease{lease}})
+		if c.startItems(t.Context()); len(o.running) != want {
+			t.Errorf("%s: %d items run, want %d", name, len(o.running), want)
+		}
+	}
+}
+
+// TestTrialIsNotPreempted guards against a trial that is lost to preemption, so that held items
+// wait for the next one, and against one that keeps its slot after it was answered.
+func TestTrialIsNotPreempted(t *testing.T) {
+	c, o := newSegmentController(0, 1)
+	quarantine(c, clock.Now(), false)
+	lease := blackboard.NewTrialLease([]blackboard.Segment{1}, clock.Now().Add(time.Minute))
+	c.board.ItemTrials.Publish(&blackboard.ItemTrials{Leases: []*blackboard.TrialLease{lease}})
+	c.startItems(t.Context())
+	if c.preemptItems(c.board.Engines.Value().All[0], 1, "test"); len(o.running) != 1 || o.running[0].cancelled {
+		t.Error("a trial without an answer was preempted, or did not run")
+	}
+	c.board.SoundSegments.Record([]blackboard.Segment{1}, clock.Now())
+	if c.preemptItems(c.board.Engines.Value().All[0], 1, "test"); !o.running[0].cancelled {
+		t.Error("a trial was not preempted after its answer")
+	}
+	c.runEnded(o.running[0], c.board.Engines.Value().All[0], interrupted, nil)
+	select {
+	case <-lease.Ended():
+	default:
+		t.Error("the lease did not end with the run")
+	}
+	if lease.Outcome() != blackboard.TrialAnswered {
+		t.Errorf("outcome %d, want that the segment was answered", lease.Outcome())
+	}
+}
+
+// TestHeldItemsAreCounted guards against items that wait without any sign of it, and against
+// segments for whose trial nobody asks.
+func TestHeldItemsAreCounted(t *testing.T) {
+	c, o := newSegmentController(0, 1, 1, 2, 0)
+	quarantine(c, clock.Now().Add(time.Minute), false)
+	o.waiting[2].crashedAt, o.head.DueAfter = clock.Now(), 18*time.Second
+	c.publishDemand()
+	held := c.board.BatchDemand.Value().Held
+	if held[blackboard.HeldByQuarantine] != 2 || held[blackboard.HeldAfterCrash] != 1 || held[blackboard.HeldForEngine] != 1 {
+		t.Errorf("held items by reason: %v", held)
+	}
+	if sets := c.board.HeldSegments.Value().Sets; len(sets) != 1 || len(sets[0]) != 1 || sets[0][0] != 1 {
+		t.Errorf("segments that wait for a trial: %v, want segment 1 once", sets)
+	}
+	var logged strings.Builder
+	c.log.Writer = &log.IOWriter{Writer: &logged}
+	o.head.Submitted -= o.head.DueAfter + time.Second
+	c.publishDemand()
+	c.publishDemand()
+	if n := strings.Count(logged.String(), "held beyond its due time"); n != 1 || !strings.Contains(logged.String(), `"segment":"1"`) {
+		t.Errorf("logged %d times, want once with the segment: %s", n, logged.String())
+	}
+	c.draining.Store(true)
+	if c.publishDemand(); len(c.board.HeldSegments.Value().Sets) != 0 {
+		t.Error("a daemon that stops asks for trials")
+	}
+}
+
+// TestNewOwnerPausesItemsOfSuspectedSegments guards against a new owner of a job that runs an
+// item at once under which an engine crashed at the previous owner.
+func TestNewOwnerPausesItemsOfSuspectedSegments(t *testing.T) {
+	for age, want := range map[time.Duration]int{0: 1, 2 * claimDelay: 0} {
+		c, o := newSegmentController(age, 1)
+		c.board.Quarantine.Publish(&blackboard.Quarantine{Suspected: map[blackboard.Segment]bool{1: true}})
+		items := o.items
+		o.waiting, o.takenOver = nil, c.board.StoreNow()-o.head.Submitted > claimDelay
+		c.itemsLoaded(o, items, nil)
 		if c.startItems(t.Context()); len(o.running) != want {
-			t.Errorf("may try = %v: %d items run, want %d", mayTry, len(o.running), want)
+			t.Errorf("job of age %v: %d items run at once, want %d", age, len(o.running), want)
 		}
 	}
 }
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -219,9 +219,7 @@
 	delete(o.running, s.index)
 	s.earlierRuns = s.elapsed()
 	s.cancel = nil
-	if outcome != notRun {
-		s.gate.EndTrial()
-	}
+	c.endTrial(s, outcome)
 	if c.owned[o.key] != o {
 		return
 	}
--- a/controller/jobs/schedule.go
+++ b/controller/jobs/schedule.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
@@ -51,7 +52,7 @@
 	var found []*itemState
 	for _, o := range c.owned {
 		for _, s := range o.running {
-			if s.engine == engine && !s.cancelled {
+			if s.engine == engine && !s.cancelled && !c.isUnansweredTrial(s) {
 				found = append(found, s)
 			}
 		}
@@ -71,7 +72,8 @@
 // engines that have free slots, in the order of package due.
 func (c *Controller) startItems(ctx context.Context) {
 	c.giveUpItems()
-	if !c.canStart() {
+	c.stopped = !c.canStart()
+	if c.stopped {
 		return
 	}
 	var jobs []*ownedJob
@@ -81,10 +83,13 @@
 		}
 	}
 	now := c.board.StoreNow()
-	slices.SortFunc(jobs, func(a, b *ownedJob) int { return due.Compare(c.dueJob(a.waiting[0]), c.dueJob(b.waiting[0]), now) })
+	slices.SortFunc(jobs, func(a, b *ownedJob) int {
+		return c.compareNext(a.waiting[0], b.waiting[0], now)
+	})
 	for _, o := range jobs {
-		if !c.dueJob(o.waiting[0]).CanFinishOnTime(now) && c.board.PeersWithBatchDemand.Load() > 0 {
-			return // leave the slots to other daemons, whose items can finish on time
+		first := o.waiting[0]
+		if !c.dueJob(first).CanFinishOnTime(now) && c.board.PeersWithBatchDemand.Load() > 0 && !c.wouldBeTrial(first) {
+			continue // leave the slots to other daemons, whose items can finish on time
 		}
 		for len(o.waiting) > 0 && c.running < maxRunningItems {
 			if !c.startItem(ctx, o) {
@@ -94,6 +99,18 @@
 	}
 }
 
+// compareNext orders items that may start: trials first, since their lease ends soon and other
+// items wait for their outcome, then as package due does.
+func (c *Controller) compareNext(a, b *itemState, now time.Duration) int {
+	if x, y := c.wouldBeTrial(a), c.wouldBeTrial(b); x != y {
+		if x {
+			return -1
+		}
+		return 1
+	}
+	return due.Compare(c.dueJob(a), c.dueJob(b), now)
+}
+
 // canStart reports whether items may be started. If the store is unavailable for
 // this daemon only, other daemons may have read changes that it misses, and it starts
 // none. While the store is unavailable for all daemons, no daemon can read a change, and
@@ -131,9 +148,12 @@
 	}
 	query.Tried = s.failedRecently
 	engine := placement.ChooseForBatch(c.board.Engines.Value().OfService(service.Name), &query)
-	if engine == nil || !s.gate.Enter(c.board.Quarantine.Value(), clock.Now()) {
+	if engine == nil || !s.gate.EnterItem(c.board.Quarantine.Value(), c.board.ItemTrials.Value(), clock.Now()) {
 		return false
 	}
+	if s.gate.Lease() != nil {
+		c.logItem(s, engine, nil).Msg("item is sent as a trial of its quarantined segments")
+	}
 	o.waiting = o.waiting[1:]
 	c.run(ctx, s, route, engine)
 	return true
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -24,6 +24,7 @@
 	"github.com/baobablanding/baobablanding/controller/quarantine"
 	"github.com/baobablanding/baobablanding/controller/rates"
 	"github.com/baobablanding/baobablanding/controller/roster"
+	"github.com/baobablanding/baobablanding/controller/trials"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/job"
 	"github.com/baobablanding/baobablanding/platform"
@@ -138,13 +139,14 @@
 		Client: engines, Crashes: relay.NewCrashDetector(e.board, engines, metrics, e.log), Segments: platform.ItemSegments,
 	}, self, e.log)
 	directories := directory.New(e.board, rows, platform.Decoder{}, e.log)
+	itemTrials := trials.New(e.board, rows, self.Incarnation, trials.NewMetrics(reg), e.log)
 	loadExchange := loads.New(e.board, socket, e.log)
 	e.heartbeat.run(e.roster.RunHeartbeat)
 	for _, run := range []func(context.Context){
 		directories.RunOperators, directories.RunEngines, directories.RunOutages, e.roster.RunObserver, e.roster.RunRemover,
 		loadExchange.RunReceiver, loadExchange.RunSender,
 		quarantine.New(e.board, quarantine.NewMetrics(reg, e.board), e.log).Run,
-		rates.New(e.board, rows, e.log).Run, e.jobs.RunFollower, e.jobs.Run,
+		rates.New(e.board, rows, e.log).Run, e.jobs.RunFollower, e.jobs.Run, itemTrials.Run, itemTrials.RunRemover,
 	} {
 		e.controllers.run(run)
 	}
--- a/daemon/entrymetrics.go
+++ b/daemon/entrymetrics.go
@@ -29,6 +29,12 @@
 	gauge("items_waiting", "Batch items that wait on this daemon and can still finish before their deadline.", func() float64 {
 		return float64(board.BatchDemand.Value().WaitingItems)
 	})
+	for reason := range blackboard.HoldReason(blackboard.HoldReasons) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "baobab", Subsystem: "entry", Name: "items_held", Help: "Batch items that wait on this daemon, by what they wait for.",
+			ConstLabels: prometheus.Labels{"reason": reason.String()},
+		}, func() float64 { return float64(board.BatchDemand.Value().Held[reason]) }))
+	}
 	gauge("engines", "Registered engines that accept new requests.", func() float64 {
 		return float64(countEngines(board, func(*blackboard.Engine) bool { return true }))
 	})
--- a/entrytest/crash_test.go
+++ b/entrytest/crash_test.go
@@ -21,14 +21,17 @@
 
 // crashes counts the requests with the deadly segment that reached engines.
 type crashes struct {
-	mu sync.Mutex
-	at []time.Time
+	mu            sync.Mutex
+	at            []time.Time
+	harmlessAfter int // number of requests after which the segment crashes no engine, or 0
 }
 
-func (c *crashes) add() {
+// add counts a request and reports whether it crashes the engine.
+func (c *crashes) add() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.at = append(c.at, time.Now())
+	return c.harmlessAfter == 0 || len(c.at) <= c.harmlessAfter
 }
 
 // since returns how many there were after the time.
@@ -51,11 +54,10 @@
 	for i := range n {
 		var down sync.Mutex // held while the engine is away
 		e := f.startEngine(fmt.Sprintf("i-%d", i+1), func(e *engine, w http.ResponseWriter, r *http.Request, number int) {
-			if !sharesSegment(r, deadlySegment) {
+			if !sharesSegment(r, deadlySegment) || !deadly.add() {
 				streamUntil(e, w, r, e.eventCount, 20*time.Millisecond)
 				return
 			}
-			deadly.add()
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.WriteHeader(http.StatusOK)
 			http.NewResponseController(w).Flush()
