Quarantine: ends of several engines at once are no evidence

Cause: few crashes suffice for a decision, and only those counted for the check whether engines ended together that met a request with an unsound segment, in the same data centre and within 0.5 s. Ends under sound requests were not known at all. A decision made before other ends or an earlier answer were learned stayed until its trial.

Change: a crash is no evidence if within a second at least as many engines ended without the segment as with it, in any data centre, unless a quarantined segment explains them. All ends that a daemon sees count; those that one other daemon alone reports do not. A decision is weighed again when such ends, or an answer from before its crashes, are learned later, and it is then not adopted back.

--- a/blackboard/quarantine.go
+++ b/blackboard/quarantine.go
@@ -11,15 +11,16 @@
 // share. The last segment of a prompt is never among a request's shared segments.
 type Segment uint64
 
-// EngineCrash is the end of an engine's process while it held a request that it had not
-// begun to answer. It is evidence against the request's shared segments.
+// EngineCrash is the end of an engine's process while it held a request. If it had not begun to
+// answer it, that is evidence against the request's shared segments.
 type EngineCrash struct {
 	// Engine and StartedAtMs identify the start of the engine that ended.
 	Engine      string
 	StartedAtMs int64
 	// Request is the hash of the request's id.
 	Request uint64
-	// Segments are the shared segments of the request that were not known to be sound.
+	// Segments are the shared segments of the request that were not known to be sound. Without
+	// any, the crash is only the end of an engine, and Request is 0.
 	Segments []Segment
 	// SeenAt is when this daemon found that the engine had ended.
 	SeenAt clock.Instant
--- a/controller/jobs/quarantine.go
+++ b/controller/jobs/quarantine.go
@@ -132,7 +132,11 @@
 
 // checkCrash returns crashed instead of interrupted if the engine crashed with the item.
 func (c *Controller) checkCrash(ctx context.Context, r *itemRun, outcome runOutcome, err error) runOutcome {
-	if outcome == interrupted && !r.written() && c.engines.Crashes.Check(ctx, &r.message, r.engine, err) {
+	if outcome == interrupted && r.written() {
+		c.engines.Crashes.ObserveEnd(r.engine, err)
+		return outcome
+	}
+	if outcome == interrupted && c.engines.Crashes.Check(ctx, &r.message, r.engine, err) {
 		return crashed
 	}
 	return outcome
--- a/controller/quarantine/metrics.go
+++ b/controller/quarantine/metrics.go
@@ -9,7 +9,8 @@
 // Metrics holds the metrics of the quarantine.
 type Metrics struct {
 	quarantined, suspected prometheus.Gauge
-	ownCrashes, peerClaims prometheus.Counter
+	ownCrashes, ownEnds    prometheus.Counter
+	peerClaims             prometheus.Counter
 	decisions, extended    prometheus.Counter
 	cleared, trials        prometheus.Counter
 }
@@ -21,13 +22,14 @@
 		quarantined: gauge("segments", "Prompt segments that are quarantined."),
 		suspected:   gauge("suspected_segments", "Prompt segments of engine crashes that are neither quarantined nor cleared."),
 		ownCrashes:  counter("crashes_total", "Engine crashes that requests of this daemon saw."),
+		ownEnds:     counter("engine_ends_total", "Engines that ended under requests of this daemon whose segments were all sound or answered."),
 		peerClaims:  counter("peer_claims_total", "Claims of crashes and decisions received from other daemons, with repetitions."),
 		decisions:   counter("decisions_total", "Times that a segment was quarantined."),
 		extended:    counter("extensions_total", "Crashes that extended the quarantine of a segment."),
 		cleared:     counter("cleared_total", "Segments that left quarantine because an engine answered a request with them."),
 		trials:      counter("trials_total", "Requests with a quarantined segment that this daemon sent as a trial."),
 	}
-	reg.MustRegister(m.quarantined, m.suspected, m.ownCrashes, m.peerClaims, m.decisions, m.extended, m.cleared, m.trials,
+	reg.MustRegister(m.quarantined, m.suspected, m.ownCrashes, m.ownEnds, m.peerClaims, m.decisions, m.extended, m.cleared, m.trials,
 		droppedCounter("dropped_crashes_total", "Engine crashes dropped because too many waited.", board.Crashes.Dropped),
 		droppedCounter("dropped_reports_total", "Reports with evidence dropped because too many waited.", board.PeerEvidence.Dropped))
 	return m
--- a/controller/quarantine/quarantine.go
+++ b/controller/quarantine/quarantine.go
@@ -87,13 +87,18 @@
 
 // addOwn adds a crash that a request of this daemon saw.
 func (c *Controller) addOwn(crash blackboard.EngineCrash) {
-	c.metrics.ownCrashes.Inc()
 	claim := blackboard.CrashClaim{EngineCrash: crash, Reporter: c.board.Roster.Value().Self.Name}
 	if e := c.board.Engines.Value().ByID(crash.Engine); e != nil {
 		claim.EngineDataCentre = e.DataCentre
 	}
-	c.log.Warn().Str("engine", crash.Engine).Int64("started_at_ms", crash.StartedAtMs).Str("request_hash", hex(crash.Request)).
-		Strs("segments", segmentNames(crash.Segments)).Msg("engine ended before it began to answer a request")
+	if len(crash.Segments) > 0 {
+		c.metrics.ownCrashes.Inc()
+		c.log.Warn().Str("engine", crash.Engine).Int64("started_at_ms", crash.StartedAtMs).Str("request_hash", hex(crash.Request)).
+			Strs("segments", segmentNames(crash.Segments)).Msg("engine ended before it began to answer a request")
+	} else {
+		c.metrics.ownEnds.Inc()
+		c.log.Warn().Str("engine", crash.Engine).Int64("started_at_ms", crash.StartedAtMs).Msg("engine ended under requests with sound segments")
+	}
 	c.ledger.AddCrash(claim, clock.Now())
 }
 
@@ -159,6 +164,8 @@
 		line.Msg("quarantined segment crashed another engine")
 	case quarantine.Explained:
 		line.Msg("segment leaves quarantine: another one explains the crashes")
+	case quarantine.Overruled:
+		line.Msg("segment leaves quarantine: other ends of engines or earlier answers speak against it")
 	case quarantine.Forgotten:
 		line.Msg("segment leaves quarantine: no request had it for long")
 	}
--- a/policy/quarantine/days_test.go
+++ b/policy/quarantine/days_test.go
@@ -31,6 +31,8 @@
 		{name: "false evidence", daemons: 9, length: short, liar: true},
 		{name: "zone loss", daemons: 9, length: short, zoneLossAt: 10 * time.Second},
 		{name: "zone loss beside 1 in 20", daemons: 9, share: 0.05, deadly: 1, length: short, zoneLossAt: 10 * time.Second},
+		{name: "a fifth of the engines", daemons: 36, engines: 45, rate: 220, length: short, fifthEach: 2500 * time.Millisecond, firstEvent: 3 * time.Second},
+		{name: "a fifth of the engines beside 1 in 20", daemons: 36, engines: 45, rate: 220, share: 0.05, deadly: 1, length: short, fifthEach: 2500 * time.Millisecond, firstEvent: 3 * time.Second},
 		{name: "rolling kill", daemons: 9, length: short, rollingKill: true},
 		{name: "restarts", daemons: 9, share: 0.05, deadly: 1, length: short, restarts: true},
 		{name: "38 daemons with sums", daemons: 38, engines: 48, rate: 220, share: 0.05, deadly: 1, length: short, farWay: 500 * time.Millisecond},
--- a/policy/quarantine/decision.go
+++ b/policy/quarantine/decision.go
@@ -48,6 +48,8 @@
 	Extensions int
 
 	extendedBy map[string]int // by other daemon: how often its crashes extended the decision
+	adopted    bool           // from other daemons
+	reconsider bool           // evidence from before the decision arrived after it
 }
 
 // EventKind says what happened to a decision.
@@ -59,6 +61,7 @@
 	Adopted                      // the decision of other daemons was adopted
 	Extended                     // another crash, or a trial that crashed, extended the decision
 	Explained                    // another segment explains all crashes
+	Overruled                    // an answer or ends of engines that were learned late speak against it
 	Forgotten                    // no request with the segment came for long
 )
 
@@ -101,11 +104,21 @@
 		l.version++
 		return []Event{{Kind: Explained, Decision: v}}
 	}
+	if v != nil && !v.reconsider {
+		return l.extend(v, a.crashes)
+	}
+	counted := slices.DeleteFunc(slices.Clone(a.counted), func(c *blackboard.CrashClaim) bool {
+		// Two decisions on the same crashes do not explain each other away.
+		return v == nil && d.isExplained(c, s) || d.isInBurst(c, a)
+	})
+	isJustified := isSufficient(counted, a.answered, l.othersEnded(a.crashes))
 	if v != nil {
+		if l.overrule(v, isJustified, d.isVoid(s)) {
+			return []Event{{Kind: Overruled, Decision: v}}
+		}
 		return l.extend(v, a.crashes)
 	}
-	counted := slices.DeleteFunc(slices.Clone(a.counted), func(c *blackboard.CrashClaim) bool { return d.isExplained(c, s) })
-	if !isSufficient(counted, a.answered, l.othersEnded(a.crashes)) || len(l.decisions) >= maxDecisions {
+	if !isJustified || len(l.decisions) >= maxDecisions {
 		return nil
 	}
 	return []Event{l.quarantine(s, counted)}
@@ -125,6 +138,7 @@
 			delete(l.clears, s)
 		}
 	}
+	l.expireEnds(now)
 	told := l.countTold(now)
 	if len(l.crashes)+len(l.claims)+len(l.clears) != before || told != l.told {
 		l.told = told
@@ -183,8 +197,8 @@
 }
 
 // adopt adds the decisions that enough other daemons hold, so that a daemon that restarted
-// learns them, except on segments of which it knows an answer or that another one explains. Of different
-// claims the one with the earliest trial counts.
+// learns them, except on segments of which it knows an answer, that another one explains, or whose known
+// crashes are no evidence. Of different claims the one with the earliest trial counts.
 func (l *Ledger) adopt(daemons int, d *evidenceIndex) []Event {
 	needed := minAdoptedClaims
 	if daemons < minVotingDaemons {
@@ -199,11 +213,11 @@
 	var events []Event
 	for s, claims := range bySegment {
 		reporters := countedClaims(claims)
-		if len(reporters) < needed || d.isExplainedAway(s) || len(l.decisions) >= maxDecisions {
+		if len(reporters) < needed || d.isExplainedAway(s) || d.isVoid(s) || len(l.decisions) >= maxDecisions {
 			continue
 		}
 		first := slices.MinFunc(claims, func(a, b blackboard.DecisionClaim) int { return cmp.Compare(a.TrialDue, b.TrialDue) })
-		v := &Decision{Segment: s, LastCrash: first.LastCrash, TrialDue: first.TrialDue, Extensions: max(first.Extensions, 0), extendedBy: make(map[string]int)}
+		v := &Decision{Segment: s, LastCrash: first.LastCrash, TrialDue: first.TrialDue, Extensions: max(first.Extensions, 0), extendedBy: make(map[string]int), adopted: true}
 		l.decisions[s] = v
 		l.version++
 		events = append(events, Event{Kind: Adopted, Decision: v, Reporters: reporters})
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -54,11 +54,12 @@
 	// segments holds the segments of all requests that an engine held when it ended.
 	segments  map[engineStart][]blackboard.Segment
 	decisions map[blackboard.Segment]*Decision // before the evidence is weighed
+	ends      map[engineStart]engineEnd
 }
 
 // evidenceIndex returns the evidence. A fleet is given by the number of its daemons.
 func (l *Ledger) evidenceIndex(daemons int) *evidenceIndex {
-	d := &evidenceIndex{bySegment: l.evidenceBySegment(daemons), segments: make(map[engineStart][]blackboard.Segment), decisions: maps.Clone(l.decisions)}
+	d := &evidenceIndex{bySegment: l.evidenceBySegment(daemons), segments: make(map[engineStart][]blackboard.Segment), decisions: maps.Clone(l.decisions), ends: l.ends}
 	for i := range l.crashes {
 		start := startOf(&l.crashes[i])
 		d.segments[start] = append(d.segments[start], l.crashes[i].Segments...)
--- a/policy/quarantine/ledger.go
+++ b/policy/quarantine/ledger.go
@@ -37,6 +37,8 @@
 	claims    map[claimKey]blackboard.DecisionClaim
 	clears    map[blackboard.Segment]cleared
 	decisions map[blackboard.Segment]*Decision
+	ends      map[engineStart]engineEnd
+	overruled map[blackboard.Segment]clock.Instant // by segment: the last crash of a decision that was overruled
 	version   uint64
 	told      int // number of answers that other daemons are told
 
@@ -61,6 +63,7 @@
 	return &Ledger{
 		self: self, claims: make(map[claimKey]blackboard.DecisionClaim),
 		clears: make(map[blackboard.Segment]cleared), decisions: make(map[blackboard.Segment]*Decision),
+		ends: make(map[engineStart]engineEnd), overruled: make(map[blackboard.Segment]clock.Instant),
 	}
 }
 
@@ -69,7 +72,7 @@
 
 // IsEmpty reports whether the ledger holds no evidence and no decision.
 func (l *Ledger) IsEmpty() bool {
-	return len(l.crashes)+len(l.claims)+len(l.clears)+len(l.decisions) == 0
+	return len(l.crashes)+len(l.claims)+len(l.clears)+len(l.decisions)+len(l.ends)+len(l.overruled) == 0
 }
 
 // Decision returns the decision on the segment, or nil.
@@ -91,12 +94,14 @@
 	return suspected
 }
 
-// AddCrash adds a crash. It leaves out the segments that were answered after it.
+// AddCrash adds a crash. It leaves out the segments that were answered after it. Without any, it
+// is only the end of an engine.
 func (l *Ledger) AddCrash(c blackboard.CrashClaim, now clock.Instant) {
 	c.SeenAt = min(c.SeenAt, now)
 	if now.Sub(c.SeenAt) > evidenceTime {
 		return
 	}
+	l.noteEnd(&c)
 	c.Segments = l.uncleared(c.Segments, c.SeenAt, now)
 	if len(c.Segments) == 0 {
 		return
@@ -182,7 +187,7 @@
 func (l *Ledger) AddDecisionClaim(v blackboard.DecisionClaim, now clock.Instant) {
 	v.LastCrash = min(v.LastCrash, now)
 	v.TrialDue = min(v.TrialDue, v.LastCrash.Add(maxQuarantineTime))
-	if len(l.uncleared([]blackboard.Segment{v.Segment}, v.LastCrash, now)) == 0 || now.Sub(v.TrialDue) > forgetTime {
+	if len(l.uncleared([]blackboard.Segment{v.Segment}, v.LastCrash, now)) == 0 || now.Sub(v.TrialDue) > forgetTime || l.isOverruled(&v) {
 		return
 	}
 	key := claimKey{v.Segment, v.Reporter}
@@ -232,10 +237,15 @@
 			delete(l.claims, key)
 		}
 	}
-	if v := l.decisions[c.Segment]; v != nil && v.LastCrash <= c.AnsweredAt {
+	v := l.decisions[c.Segment]
+	if v == nil {
+		return false
+	}
+	if v.LastCrash <= c.AnsweredAt {
 		delete(l.decisions, c.Segment)
 		return true
 	}
+	v.reconsider = v.reconsider || !known // an answer from before the crashes counts whenever it is learned
 	return false
 }
 
--- a/policy/quarantine/ledger_test.go
+++ b/policy/quarantine/ledger_test.go
@@ -16,8 +16,9 @@
 
 // TestDecisions compares the decisions of a daemon named "self" with testdata/decisions. Each
 // input line is a crash "time reporter engine data-centre request segment...", a decision
-// "time reporter decision segment", an answer "time answer segment" or a "time check"; times
-// are in ms and in order.
+// "time reporter decision segment", an answer "time answer segment", with the time at which it
+// was given if it is learned later, or a "time check"; a crash without segments is the end of an
+// engine that had only sound requests. Times are in ms and in order.
 func TestDecisions(t *testing.T) {
 	datadriven.RunTest(t, "testdata/decisions", func(t *testing.T, d *datadriven.TestData) string {
 		daemons := 9
@@ -44,7 +45,13 @@
 	switch {
 	case words[0] == "check":
 	case words[0] == "answer":
-		l.Clear(blackboard.ClearClaim{Segment: segmentNamed(words[1]), AnsweredAt: now}, now)
+		at := now
+		if len(words) > 2 { // it is learned later
+			var ms int64
+			fmt.Sscan(words[2], &ms)
+			at = dayStart.Add(time.Duration(ms) * time.Millisecond)
+		}
+		l.Clear(blackboard.ClearClaim{Segment: segmentNamed(words[1]), AnsweredAt: at}, now)
 	case words[1] == "decision":
 		l.AddDecisionClaim(blackboard.DecisionClaim{Reporter: words[0], Segment: segmentNamed(words[2]), LastCrash: now, TrialDue: now.Add(quarantineTime)}, now)
 	default:
--- a/policy/quarantine/simulation_test.go
+++ b/policy/quarantine/simulation_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,6 +24,8 @@
 	harmlessAt       time.Duration // when the deadly segments become harmless, or 0
 	liar             bool          // whether daemon 0 claims crashes of sound segments
 	zoneLossAt       time.Duration // when a data centre with its daemons loses power, or 0
+	firstEvent       time.Duration // of answers, at most; maxFirstEvent if 0
+	fifthEach        time.Duration // how often a fifth of the engines ends within half a second, or 0
 	rollingKill      bool          // whether an engine ends each second
 	restarts         bool          // whether a daemon restarts each 5 s
 }
@@ -152,6 +155,9 @@
 	if s.rollingKill && each(time.Second) {
 		s.end(s.engines[int(s.elapsed()/time.Second)%len(s.engines)])
 	}
+	if s.fifthEach > 0 {
+		s.endFifth(s.elapsed() % s.fifthEach)
+	}
 	if s.restarts && each(5*time.Second) {
 		s.restart(s.daemons[int(s.elapsed()/(5*time.Second))%len(s.daemons)], time.Second)
 	}
@@ -172,6 +178,14 @@
 	}
 }
 
+// endFifth ends every fifth engine, one after the other, the time after the first of them.
+func (s *simulation) endFifth(passed time.Duration) {
+	const pause = 50 * time.Millisecond
+	if i := int(passed / pause); passed%pause == 0 && i < len(s.engines)/5 {
+		s.end(s.engines[5*i])
+	}
+}
+
 // lie lets daemon 0 claim crashes of sound segments and decisions on them.
 func (s *simulation) lie() {
 	for _, d := range s.daemons[1:] {
@@ -262,7 +276,7 @@
 		return
 	}
 	e := running[s.rng.IntN(len(running))]
-	r.answerAt = s.now.Add(time.Duration(s.rng.Int64N(int64(maxFirstEvent))))
+	r.answerAt = s.now.Add(time.Duration(s.rng.Int64N(int64(cmp.Or(s.firstEvent, maxFirstEvent)))))
 	e.running = append(e.running, r)
 }
 
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,8 @@
 	// crashCheckDelay is the time between the loss of a connection to an engine and the
 	// question whether the engine ended. A process may close its listener last.
 	crashCheckDelay = 30 * time.Millisecond
+	// endCheckTimeout bounds the check of an engine for ObserveEnd.
+	endCheckTimeout = time.Second
 )
 
 // CrashDetector tells crashes of engines from other lost connections, and reports them to
@@ -32,6 +35,9 @@
 	engines EngineClient
 	metrics *Metrics
 	log     *log.Logger
+	// checked holds hashes of the starts of engines that ObserveEnd checks, or that ended. One
+	// that another one displaces is only checked again.
+	checked [64]atomic.Uint64
 }
 
 // NewCrashDetector returns a detector that reports crashes to the board.
@@ -50,7 +56,11 @@
 // the next engine as well. The cause is the error that ended the attempt, which must not
 // have been cancelled.
 func (d *CrashDetector) Check(ctx context.Context, m *Message, engine *blackboard.Engine, cause error) bool {
-	if !isConnectionLoss(cause) || len(d.unsoundSegments(m)) == 0 {
+	if !isConnectionLoss(cause) {
+		return false
+	}
+	if len(d.unsoundSegments(m)) == 0 {
+		d.ObserveEnd(engine, cause)
 		return false
 	}
 	if !timer.Sleep(ctx, crashCheckDelay) || !d.engines.Refuses(ctx, engine) {
@@ -58,6 +68,7 @@
 	}
 	segments := d.unsoundSegments(m) // another request may have had a response meanwhile
 	if len(segments) == 0 {
+		d.ObserveEnd(engine, cause)
 		return false
 	}
 	d.metrics.crashes.Inc()
@@ -69,6 +80,30 @@
 	return true
 }
 
+// ObserveEnd finds out, without waiting, whether the engine ended when it lost the connection of a
+// request that is no evidence against any segment. Such an end speaks against evidence from the
+// same moment. The cause is as in Check.
+func (d *CrashDetector) ObserveEnd(engine *blackboard.Engine, cause error) {
+	if !isConnectionLoss(cause) {
+		return
+	}
+	start := blackboard.HashPair(xxhash.Sum64String(engine.ID), uint64(engine.StartedAtMs))
+	place := &d.checked[start%uint64(len(d.checked))]
+	if place.Swap(start) == start {
+		return
+	}
+	lostAt := clock.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+		defer cancel()
+		if timer.Sleep(ctx, crashCheckDelay) && d.engines.Refuses(ctx, engine) {
+			d.board.Crashes.Report(blackboard.EngineCrash{Engine: engine.ID, StartedAtMs: engine.StartedAtMs, SeenAt: lostAt.Add(crashCheckDelay)})
+			return
+		}
+		place.CompareAndSwap(start, 0) // the engine lives and may end later
+	}()
+}
+
 // unsoundSegments returns the segments of the request that are not known to be sound.
 func (d *CrashDetector) unsoundSegments(m *Message) []blackboard.Segment {
 	var unsound []blackboard.Segment
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -59,6 +59,9 @@
 // If so, the request may not be sent to another engine, and its outcome is unknown. The
 // caller must not have cancelled the attempt.
 func (r *activeRequest) checkCrash(ctx context.Context, a *attempt, err error) error {
+	if a.written && a.cause != nil {
+		r.server.crashes.ObserveEnd(a.engine, a.cause)
+	}
 	if a.written || a.cause == nil || result.FromError(err).Verdict == result.NotRun || !r.server.crashes.Check(ctx, &r.Message, a.engine, a.cause) {
 		return err
 	}
