Jobs: a trial goes to an item with which no engine crashed

One item got all trials of its segment, since an item that crashed an engine waits at the front of its job. Trials now go to an item of the job that did not, so that each shows something about another one. The number of segment combinations that ask for a trial is bounded by 256 instead of 32: those beyond had no trial while the others were held.

--- a/controller/jobs/held.go
+++ b/controller/jobs/held.go
@@ -10,8 +10,9 @@
 	"github.com/baobablanding/baobablanding/clock"
 )
 
-// maxHeldSets bounds the combinations of segments that are published.
-const maxHeldSets = 64
+// maxHeldSets bounds the combinations of segments that are published. There are at most 256
+// quarantined segments.
+const maxHeldSets = 256
 
 // heldSets collects the quarantined segments of items that wait for a trial.
 type heldSets struct{ sets [][]blackboard.Segment }
--- a/controller/jobs/quarantine.go
+++ b/controller/jobs/quarantine.go
@@ -99,8 +99,9 @@
 	return true
 }
 
-// selectNext moves the first item of the job that may start to the front of those that wait,
-// before others one that would be a trial. It reports false if there is none.
+// selectNext moves the first item of the job that may start to the front of those that wait. An
+// item that would be a trial goes before others, and of these one with which no engine crashed,
+// so that each trial shows something about another item. It reports false if there is none.
 func (c *Controller) selectNext(o *ownedJob) bool {
 	route, _ := c.startableRoute(o)
 	if route == nil {
@@ -113,11 +114,10 @@
 		if s.isExhausted(route) || !c.mayStart(s, now) {
 			continue
 		}
-		isTrial := hasLease && c.wouldBeTrial(s)
-		if next < 0 || isTrial {
+		if next < 0 || hasLease && c.isBetterTrial(s, o.waiting[next]) {
 			next = i
 		}
-		if isTrial || !hasLease {
+		if !hasLease {
 			break
 		}
 	}
@@ -130,6 +130,15 @@
 	return true
 }
 
+// isBetterTrial reports whether an item should run as a trial rather than another one, or is the
+// only one of both that would be a trial.
+func (c *Controller) isBetterTrial(s, other *itemState) bool {
+	if !c.wouldBeTrial(s) {
+		return false
+	}
+	return !c.wouldBeTrial(other) || s.crashedAt < other.crashedAt
+}
+
 // checkCrash returns crashed instead of interrupted if the engine crashed with the item.
 func (c *Controller) checkCrash(ctx context.Context, r *itemRun, outcome runOutcome, err error) runOutcome {
 	if outcome == interrupted && r.written() {
--- a/controller/jobs/quarantine_test.go
+++ b/controller/jobs/quarantine_test.go
@@ -104,6 +104,20 @@
 	}
 }
 
+// TestTrialGoesToAnItemThatDidNotCrash guards against a trial that waits behind other items of
+// its job, and against items that never run because one item gets all trials.
+func TestTrialGoesToAnItemThatDidNotCrash(t *testing.T) {
+	c, o := newSegmentController(0, 0, 1, 1)
+	quarantine(c, clock.Now(), false)
+	o.waiting[1].crashedAt = clock.Now().Add(-time.Minute)
+	c.board.ItemTrials.Publish(&blackboard.ItemTrials{
+		Leases: []*blackboard.TrialLease{blackboard.NewTrialLease([]blackboard.Segment{1}, clock.Now().Add(time.Minute))},
+	})
+	if !c.selectNext(o) || o.waiting[0].index != 2 {
+		t.Errorf("item %d is next, want the one with the index 2", o.waiting[0].index)
+	}
+}
+
 // TestTrialIsNotPreempted guards against a trial that is lost to preemption, so that held items
 // wait for the next one, and against one that keeps its slot after it was answered.
 func TestTrialIsNotPreempted(t *testing.T) {
--- a/controller/trials/trials.go
+++ b/controller/trials/trials.go
@@ -27,8 +27,6 @@
 	// retryTime is the time after a call of the store that failed, and after a lease for which
 	// no engine had room.
 	retryTime = time.Second
-	// maxSets bounds the combinations of segments for which a daemon takes trials.
-	maxSets = 32
 	// maxWait is the longest time between two checks.
 	maxWait = time.Second
 )
@@ -71,7 +69,7 @@
 		held := c.board.HeldSegments.Load()
 		c.forget(held.Value)
 		wait := maxWait
-		for _, set := range held.Value.Sets[:min(len(held.Value.Sets), maxSets)] {
+		for _, set := range held.Value.Sets {
 			wait = min(wait, c.takeDue(ctx, set))
 		}
 		c.publish()
--- a/policy/quarantine/days_test.go
+++ b/policy/quarantine/days_test.go
@@ -76,3 +76,11 @@
 	t.Logf("%s: worst of %d seeds: %d crashes, %d before the decisions held, %d late; %d of %d sound requests refused, longest mistake %v",
 		d.name, daySeeds, worst.crashes, worst.crashesBefore, worst.late, refused, sound, worst.longest)
 }
+
+// endFifth ends every fifth engine, one after the other, the time after the first of them.
+func (s *simulation) endFifth(passed time.Duration) {
+	const pause = 50 * time.Millisecond
+	if i := int(passed / pause); passed%pause == 0 && i < len(s.engines)/5 {
+		s.end(s.engines[5*i])
+	}
+}
--- a/policy/quarantine/simulation_test.go
+++ b/policy/quarantine/simulation_test.go
@@ -178,14 +178,6 @@
 	}
 }
 
-// endFifth ends every fifth engine, one after the other, the time after the first of them.
-func (s *simulation) endFifth(passed time.Duration) {
-	const pause = 50 * time.Millisecond
-	if i := int(passed / pause); passed%pause == 0 && i < len(s.engines)/5 {
-		s.end(s.engines[5*i])
-	}
-}
-
 // lie lets daemon 0 claim crashes of sound segments and decisions on them.
 func (s *simulation) lie() {
 	for _, d := range s.daemons[1:] {
