Roll-outs of engine versions along one path

Cause: operators replace the engines of a service by another version; a bad version must get few requests and be taken back, a good one must be in use by the deadline of the order. Change: contract 'rollout' in the settings, orders and versions decoded in platform, policy/rollout (share, evidence, stages), controller/rollouts (owner by a row, states for operators), placement.Query.Allowed for online requests, resumed streams and items, counts by version and route in load reports and sums while there is an order.

--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -69,6 +69,20 @@
 	// SoundSegments are the prompt segments that engines answered lately. Requests
 	// and batch items record them.
 	SoundSegments SoundSegments
+	// RolloutOrders holds the operators' orders to roll out engine versions.
+	// controller/directory writes it.
+	RolloutOrders Section[RolloutOrders]
+	// Rollouts says which versions of engines may be used, or is nil if the settings do not
+	// ask for roll-outs; all versions are used then. controller/rollouts writes it, after
+	// package daemon has published an empty one.
+	Rollouts Section[*Rollouts]
+	// RolloutsValidUntil is the clock.Instant until which this daemon may use Rollouts.
+	// Other daemons may have replaced the engines in use after it. controller/rollouts writes
+	// it.
+	RolloutsValidUntil atomic.Int64
+	// PeerRollouts is what other daemons counted of the current orders, by service.
+	// controller/loads writes it.
+	PeerRollouts Section[map[string]*RolloutTotals]
 	// PeersWithBatchDemand is the number of other daemons on which batch items wait.
 	// controller/loads writes it.
 	PeersWithBatchDemand atomic.Int64
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -189,6 +189,17 @@
 // RouteByName returns the named route, or nil.
 func (c *Catalog) RouteByName(name string) *Route { return c.byName[name] }
 
+// RoutesOfService returns the names of the routes whose split has the service.
+func (c *Catalog) RoutesOfService(service string) []string {
+	var names []string
+	for name, r := range c.byName {
+		if slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service }) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Service returns the named service, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
@@ -214,6 +225,8 @@
 	StartedAtMs int64
 	// Service is the name of the service that the engine belongs to.
 	Service string
+	// Version is the version of the engine's program or model, or "" if its row has none.
+	Version string
 	// Address is the engine's IP address and port.
 	Address string
 	// DataCentre is where the engine runs.
--- a/controller/directory/directory.go
+++ b/controller/directory/directory.go
@@ -26,6 +26,11 @@
 	// TakenOut returns the data centre that a row with the key takes out of service.
 	// It returns false if the key belongs to a row of another kind.
 	TakenOut(store.Key) (dataCentre string, ok bool)
+	// RolloutService returns the service that a row with the key orders a roll-out of. It
+	// returns false if the key belongs to a row of another kind.
+	RolloutService(store.Key) (service string, ok bool)
+	// RolloutOrder returns the order that the row holds, or an error if it cannot be decoded.
+	RolloutOrder(store.Row) (*blackboard.RolloutOrder, error)
 	// Engine returns the engine that the row registers, or an error if the row cannot be
 	// decoded.
 	Engine(store.Row) (*catalog.Engine, error)
@@ -40,11 +45,17 @@
 	decoder Decoder
 	log     *log.Logger
 
-	takenOut map[string]bool // data centres that are taken out; belongs to RunOperators
+	// The fields below belong to RunOperators.
+	takenOut map[string]bool // data centres that are taken out
+	orders   *orderSet       // nil unless the settings ask for roll-outs
 }
 
 // New returns a Controller that reads the tables of s. RunOperators, RunEngines and
 // RunOutages start it.
 func New(board *blackboard.EntryBoard, s store.Store, decoder Decoder, logger *log.Logger) *Controller {
-	return &Controller{board: board, store: s, decoder: decoder, log: logger, takenOut: make(map[string]bool)}
+	c := &Controller{board: board, store: s, decoder: decoder, log: logger, takenOut: make(map[string]bool)}
+	if board.Rollouts.Value() != nil {
+		c.orders = newOrderSet(c)
+	}
+	return c
 }
--- a/controller/directory/engines.go
+++ b/controller/directory/engines.go
@@ -190,7 +190,7 @@
 	if spec.Draining != old.Draining {
 		e.controller.log.Info().Str("engine", spec.ID).Bool("draining", spec.Draining).Msg("engine draining state changed")
 	}
-	return spec.Draining != old.Draining || spec.Address != old.Address || spec.Slots != old.Slots ||
+	return spec.Draining != old.Draining || spec.Address != old.Address || spec.Version != old.Version || spec.Slots != old.Slots ||
 		old.MissingUntil != 0 || engine.IsCold(now) != old.IsCold(now) || spec.ColdRemaining > 0
 }
 
--- a/controller/directory/operators.go
+++ b/controller/directory/operators.go
@@ -28,6 +28,9 @@
 	if update.WholeTable {
 		c.takenOut = make(map[string]bool)
 	}
+	if c.orders != nil {
+		c.orders.apply(update, sent)
+	}
 	for _, row := range update.Rows {
 		if dataCentre, ok := c.decoder.TakenOut(row.Key); ok {
 			takenOutChanged = true
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -12,6 +12,7 @@
 	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/job"
+	"github.com/baobablanding/baobablanding/policy/rollout"
 	"github.com/baobablanding/baobablanding/relay"
 )
 
@@ -53,6 +54,7 @@
 	message relay.Message
 	engine  *blackboard.Engine
 	events  int // received in this run
+	tracker rollout.Tracker
 
 	firstEventTimeout time.Duration
 }
@@ -83,6 +85,7 @@
 	engine.Load.Batch.Add(1)
 	cancel := s.cancel
 	r := s.newRun(route.Host, engine)
+	r.tracker = rollout.NewView(c.board, engine.Service, s.startedAt).Track(engine, route.Name)
 	go func() {
 		outcome, err := c.send(ctx, r)
 		outcome = c.checkCrash(ctx, r, outcome, err)
@@ -90,6 +93,7 @@
 		cancel()
 		c.post(context.WithoutCancel(ctx), func() {
 			r.countEmptyRun(outcome)
+			r.tracker.End(versionOutcome(outcome, s.cancelled), clock.Now())
 			c.runEnded(s, engine, outcome, err)
 		})
 	}()
@@ -173,6 +177,7 @@
 func (c *Controller) countEvents(r *itemRun, n int) {
 	before := r.written()
 	r.events += n
+	r.tracker.Observe(n, clock.Now())
 	if !before && r.written() {
 		c.engines.Crashes.RecordWritten(&r.message)
 	}
--- a/controller/jobs/schedule.go
+++ b/controller/jobs/schedule.go
@@ -17,6 +17,10 @@
 	now := clock.Now()
 	delays := c.board.Roster.Value().LoadDelays()
 	for _, e := range c.board.Engines.Value().All {
+		if e.Load.Batch.Load() > 0 && c.mustLeave(e, now) {
+			c.preemptItems(e, int(e.Load.Batch.Load()), "leaves a version that is replaced")
+			continue
+		}
 		if now.Sub(c.preemptedAt[e.ID]) < placement.PreemptionInterval(delays, e.DataCentre == c.self.DataCentre) {
 			continue
 		}
@@ -130,7 +134,7 @@
 		Interval:                 schedulingInterval,
 	}
 	query.Tried = s.failedRecently
-	engine := placement.ChooseForBatch(c.board.Engines.Value().OfService(service.Name), &query)
+	engine := c.chooseEngine(s, service.Name, &query)
 	if engine == nil || !s.gate.Enter(c.board.Quarantine.Value(), clock.Now()) {
 		return false
 	}
--- a/controller/loads/datacentre.go
+++ b/controller/loads/datacentre.go
@@ -90,6 +90,7 @@
 	sum.WaitingItems, sum.DataCentre = 0, own
 	pieces := c.sums.evidence.choose(sumPieces(c.board.Evidence.Value()), maxToldBySum, now)
 	sum.Evidence = encodeEvidence(pieces, roster.Self.Name, now)
+	rollouts := c.ownRollouts()
 	admitted := admittedCounts(c.board.RateLimiters.Value())
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,10 +107,14 @@
 			own.WaitingDaemons++
 		}
 		sum.ReadAgeMs = min(sum.ReadAgeMs, now.Sub(r.lastReadAt()).Milliseconds())
+		if len(rollouts) > 0 {
+			addRollouts(rollouts, r.Rollouts)
+		}
 		for id, counts := range r.Engines {
 			sum.Engines[id] = addCounts(sum.Engines[id], counts)
 		}
 	}
+	sum.Rollouts = encodeRollouts(rollouts)
 	return sum
 }
 
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -243,6 +243,7 @@
 	r := c.ownCounts(roster, sequence)
 	r.Admitted = c.admittedHere.changed(admittedCounts(c.board.RateLimiters.Value()))
 	self, now := roster.Self.Name, clock.Now()
+	r.Rollouts = encodeRollouts(c.ownRollouts())
 	r.Evidence = encodeEvidence(c.evidence.choose(ownPieces(c.board.Evidence.Value(), self), maxToldByDaemon, now), self, now)
 	return r
 }
--- a/controller/loads/sum.go
+++ b/controller/loads/sum.go
@@ -8,13 +8,14 @@
 
 // totals is the sum of the reports of the other daemons.
 type totals struct {
-	online, batch  map[string]int64    // numbers of requests, by engine
-	suspectedFrom  map[string][]string // by engine: data centres of the daemons that suspect it
-	leaving        map[string]bool     // engines that leave according to a daemon
-	waitingDaemons int                 // number of daemons on which batch items wait
-	waitingNearby  int                 // number of these in the own data centre
-	daemons        int                 // number of daemons whose load is in the sums
-	lastReadAt     clock.Instant       // when a daemon sent the newest read of the configuration
+	online, batch  map[string]int64                     // numbers of requests, by engine
+	suspectedFrom  map[string][]string                  // by engine: data centres of the daemons that suspect it
+	leaving        map[string]bool                      // engines that leave according to a daemon
+	waitingDaemons int                                  // number of daemons on which batch items wait
+	waitingNearby  int                                  // number of these in the own data centre
+	daemons        int                                  // number of daemons whose load is in the sums
+	lastReadAt     clock.Instant                        // when a daemon sent the newest read of the configuration
+	rollouts       map[string]*blackboard.RolloutTotals // by service
 }
 
 // applyTotals replaces the other daemons' part of the engines' loads by the sum of the
@@ -35,6 +36,7 @@
 	for _, e := range placement.SlowEngines(engines, now) {
 		c.markSlow(e, now)
 	}
+	c.publishRollouts(t.rollouts)
 	c.board.PeersWithBatchDemand.Store(int64(t.waitingDaemons))
 	c.board.NearPeersWithBatchDemand.Store(int64(t.waitingNearby))
 	c.board.ReportingDaemons.Store(int64(t.daemons) + 1)
@@ -59,7 +61,7 @@
 // totals adds up the reports. A daemon whose data centre sent a sum counts with that only.
 // The caller holds c.mu.
 func (c *Controller) totals(roster *blackboard.Roster) totals {
-	t := totals{online: make(map[string]int64), batch: make(map[string]int64), suspectedFrom: make(map[string][]string), leaving: make(map[string]bool)}
+	t := totals{online: make(map[string]int64), batch: make(map[string]int64), suspectedFrom: make(map[string][]string), leaving: make(map[string]bool), rollouts: make(map[string]*blackboard.RolloutTotals)}
 	for _, r := range c.reports {
 		dataCentre := roster.DataCentreOf(r.From)
 		if r.DataCentre == nil && c.reports[sumKey(dataCentre)] != nil && dataCentre != roster.Self.DataCentre {
@@ -89,6 +91,7 @@
 	default:
 		t.daemons++
 	}
+	addRollouts(t.rollouts, r.Rollouts)
 	t.lastReadAt = max(t.lastReadAt, r.lastReadAt())
 	for id, counts := range r.Engines {
 		t.online[id] += counts[0]
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -23,11 +23,13 @@
 	"github.com/baobablanding/baobablanding/controller/loads"
 	"github.com/baobablanding/baobablanding/controller/quarantine"
 	"github.com/baobablanding/baobablanding/controller/rates"
+	"github.com/baobablanding/baobablanding/controller/rollouts"
 	"github.com/baobablanding/baobablanding/controller/roster"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/job"
 	"github.com/baobablanding/baobablanding/platform"
 	"github.com/baobablanding/baobablanding/relay"
+	"github.com/baobablanding/baobablanding/store"
 	"github.com/baobablanding/baobablanding/timer"
 )
 
@@ -126,6 +128,9 @@
 		Address: settings.PeerAddress, DataCentre: settings.DataCentre,
 	}
 	e.board.Roster.Publish(&blackboard.Roster{Self: self})
+	if settings.Rollouts != nil {
+		e.board.Rollouts.Publish(new(blackboard.Rollouts))
+	}
 	socket, err := loads.Listen(settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for load reports: %w", err)
@@ -148,12 +153,25 @@
 	} {
 		e.controllers.run(run)
 	}
+	e.startRollouts(settings, rows, reg)
 	keyValidity := time.Duration(float64(settings.WithdrawnKeyGrace) * keyValidityFraction)
 	maxBodies := int64(float64(settings.MemoryBytes) * bodyMemoryFraction)
 	onlineServer := relay.NewServer(e.board, engines, settings.DataCentre, keyValidity, metrics, e.log)
 	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self), maxBodies), reg)
 }
 
+// startRollouts starts to carry out roll-outs of engine versions if the settings ask for it.
+func (e *Entry) startRollouts(settings platform.Settings, rows store.Store, reg *prometheus.Registry) {
+	if settings.Rollouts == nil {
+		return
+	}
+	bounds := rollouts.Bounds{Share: settings.Rollouts.ExposeShare, Slack: settings.Rollouts.ExposeSlack}
+	controller := rollouts.New(e.board, rows, platform.Decoder{}, bounds, e.log)
+	reg.MustRegister(rollouts.NewMetrics(e.board))
+	e.controllers.run(controller.RunFollower)
+	e.controllers.run(controller.Run)
+}
+
 // listen opens the listeners for metrics, callers and readiness probes, then sets the
 // phase to serving.
 func (e *Entry) listen(settings platform.Settings, handler http.Handler, reg *prometheus.Registry) error {
@@ -197,7 +215,8 @@
 // knows an engine, and has a configuration whose last read is recent enough.
 func (e *Entry) isReady() bool {
 	return e.board.Phase.Value() == blackboard.PhaseServing && e.board.Catalog.Value() != nil &&
-		e.board.ConfigRead.Value().SentWithin(e.maxReadAge, clock.Now()) && len(e.board.Engines.Value().All) > 0
+		e.board.ConfigRead.Value().SentWithin(e.maxReadAge, clock.Now()) && len(e.board.Engines.Value().All) > 0 &&
+		(e.board.Rollouts.Value() == nil || e.board.RolloutsValidUntil.Load() > int64(clock.Now()))
 }
 
 // Stop implements Process. The load balancer and the callers move to other daemons, the
--- a/entrytest/fleet_test.go
+++ b/entrytest/fleet_test.go
@@ -34,6 +34,7 @@
 	config   object
 	daemons  []*entry
 	keyGrace time.Duration
+	rollouts *platform.RolloutBounds // of daemons that start from now on
 }
 
 // entry is a running entry daemon.
@@ -141,7 +142,7 @@
 	d := &entry{settings: platform.Settings{
 		VMName: name, DataCentre: "dc-1", CallerAddress: address(f.t), ReadinessAddress: address(f.t), PeerAddress: address(f.t),
 		MetricsAddress: address(f.t), StoreAddress: strings.TrimPrefix(f.store.URL(), "http://"), MemoryBytes: 1 << 30,
-		StopGrace: 8 * time.Second, WithdrawnKeyGrace: f.keyGrace,
+		StopGrace: 8 * time.Second, WithdrawnKeyGrace: f.keyGrace, Rollouts: f.rollouts,
 	}}
 	process, err := daemon.StartEntry(d.settings, &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}})
 	if err != nil {
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -43,6 +43,9 @@
 	// lowest age, the third of an engine's counts the largest and the fourth and fifth
 	// the numbers of daemons; Admitted counts what the sender knows to have been admitted.
 	DataCentre *DataCentreSum `json:"data_centre,omitempty"`
+	// Rollouts is what the sender, or the daemons of its data centre together, counted during
+	// the current roll-outs, by service. Daemons of earlier builds ignore it.
+	Rollouts map[string]RolloutCounts `json:"rollouts,omitempty"`
 	// Evidence is what the sender, or daemons of its data centre, know of segments that may
 	// crash engines. Daemons of earlier builds ignore it.
 	Evidence *Evidence `json:"evidence,omitempty"`
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -41,7 +41,7 @@
 func ChooseForBatch(engines []*blackboard.Engine, q *BatchQuery) *blackboard.Engine {
 	delays := q.Roster.LoadDelays()
 	return chooseBest(engines, &q.Query, func(e *blackboard.Engine) (float64, bool) {
-		if !e.IsUsable() || e.MissingUntil != 0 || e.Load.Health.IsEjected(q.Now) || q.Tried != nil && q.Tried(e) {
+		if !q.allows(e) || !e.IsUsable() || e.MissingUntil != 0 || e.Load.Health.IsEjected(q.Now) || q.Tried != nil && q.Tried(e) {
 			return 0, false
 		}
 		spare := q.spareSlots(e)
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -39,6 +39,8 @@
 	// Tried reports whether an earlier attempt of the request used the engine. It
 	// may be nil.
 	Tried func(*blackboard.Engine) bool
+	// Allowed reports whether the request may use the engine. Nil allows all.
+	Allowed func(*blackboard.Engine) bool
 	// Random returns a number in [0, 1). It breaks ties and selects samples.
 	Random func() float64
 	// PreferredEngines is the set of the daemon's preferred engines, by id.
@@ -84,7 +86,7 @@
 	var near, far int
 	for _, e := range engines {
 		switch {
-		case q.PreferredEngines[e.ID]:
+		case q.PreferredEngines[e.ID] || !q.allows(e):
 		case q.isNear(e):
 			near++
 		default:
@@ -150,9 +152,12 @@
 // mayTake reports whether the engine may take the request, apart from the rate limit
 // of a cold engine.
 func (q *Query) mayTake(e *blackboard.Engine) bool {
-	return e.IsUsable() && e.IsKept(q.Now) && (q.Tried == nil || !q.Tried(e)) && e.OnlineRequestCount() < e.Slots+q.MaxQueue
+	return q.allows(e) && e.IsUsable() && e.IsKept(q.Now) && (q.Tried == nil || !q.Tried(e)) && e.OnlineRequestCount() < e.Slots+q.MaxQueue
 }
 
+// allows reports whether the request may use the engine by Allowed.
+func (q *Query) allows(e *blackboard.Engine) bool { return q.Allowed == nil || q.Allowed(e) }
+
 // isLastChoice reports whether the engine is ejected, or leaves according to other daemons.
 func (q *Query) isLastChoice(e *blackboard.Engine) bool {
 	return e.Load.Health.IsEjected(q.Now) || e.Load.LeavingByPeers.Load()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/policy/rollout"
 	"github.com/baobablanding/baobablanding/result"
 )
 
@@ -20,6 +22,11 @@
 	cause    error           // why it failed, or nil
 	events   int             // received so far
 	written  bool            // the engine wrote a response to the request
+
+	tracker  rollout.Tracker // counts it for the comparison of versions
+	mustMove atomic.Bool     // it should go on at another version
+	cut      atomic.Bool     // it was cancelled since its engine may be stopped
+	moved    bool            // it ended to go on at another version
 }
 
 // newAttempt returns an attempt at the engine that is not sent yet. It counts as a request
@@ -30,6 +37,7 @@
 	engine.Load.Online.Add(1)
 	a := &attempt{engine: engine}
 	a.ctx, a.cancel = context.WithCancel(ctx)
+	r.trackVersion(a)
 	return a
 }
 
@@ -83,11 +91,12 @@
 	silence.stop()
 	cancelled := a.ctx.Err() != nil
 	a.end()
+	r.recordVersion(ctx, a, err, cancelled && !a.cut.Load() || silence.recorded.Load())
 	if err == nil {
 		silence.dropSuccessor()
 		return nil, nil
 	}
-	if ctx.Err() == nil && !silence.recorded.Load() {
+	if ctx.Err() == nil && !silence.recorded.Load() && !a.moved && !a.cut.Load() {
 		r.recordEngineFailure(a, err)
 	}
 	if !cancelled {
@@ -141,6 +150,9 @@
 		return r.noResponse(err)
 	}
 	a.response = response
+	if !response.IsEventStream {
+		a.tracker.Observe(1, clock.Now())
+	}
 	if response.RecordLeaving(a.engine) {
 		r.logAttempt(a.engine, "leaving").Int("status", response.Status).Msg("engine shuts down and gets no more requests")
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -133,6 +133,9 @@
 			r.countEvents(a, newEvents)
 			meter.Observe(newEvents, clock.Now())
 			silence.eventArrived(r)
+			if err := r.checkMove(a); err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -50,6 +50,7 @@
 // countEvents counts events that the attempt received.
 func (r *activeRequest) countEvents(a *attempt, n int) {
 	a.events += n
+	a.tracker.Observe(n, clock.Now())
 	if !a.written && a.events >= WrittenEvents {
 		r.recordWritten(a)
 	}
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -79,7 +79,7 @@
 	if r.unnumbered || r.bodyStarted {
 		return false // no engine can be told where to go on
 	}
-	return r.Route.CanRepeat() && r.runs < r.Route.MaxAttempts
+	return r.Route.CanRepeat() && r.runs-r.moves < r.Route.MaxAttempts
 }
 
 // noPlaceError returns the error of a request for which no engine has a place.
--- a/relay/server.go
+++ b/relay/server.go
@@ -57,6 +57,7 @@
 	tried           []triedEngine
 	rejections      int   // attempts that did not run
 	runs            int   // attempts that may have run
+	moves           int   // of these, attempts that ended to go on at another version
 	responseStarted bool  // the sink has the status
 	lastEvent       int64 // number of the last event passed on, or -1
 	gate            blackboard.SegmentGate
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -107,6 +107,7 @@
 // recordFailure records an attempt that failed with err, and lets the next one wait if too many
 // engines rejected the request.
 func (s *successorSearch) recordFailure(a *attempt, err error, cancelled bool) {
+	s.request.recordVersion(s.ctx, a, err, false)
 	if !cancelled {
 		s.request.recordEngineFailure(a, err)
 		err = s.request.checkCrash(s.ctx, a, err)
--- a/relay/tried.go
+++ b/relay/tried.go
@@ -8,6 +8,7 @@
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/policy/placement"
+	"github.com/baobablanding/baobablanding/policy/rollout"
 	"github.com/baobablanding/baobablanding/result"
 )
 
@@ -59,7 +60,12 @@
 	}
 	query := placement.NewQuery(r.server.board, service, r.server.random)
 	query.Tried, query.MaxQueue = r.avoids, maxQueuedOnline
-	return placement.Choose(engines, &query)
+	view := rollout.NewView(r.server.board, service.Name, query.Now)
+	isFirst := len(r.tried) == 0
+	if isFirst {
+		view.Admit()
+	}
+	return view.Choose(&query, isFirst, func() *blackboard.Engine { return placement.Choose(engines, &query) })
 }
 
 // avoids reports whether the engine rejected or failed the request lately.
