Roll-outs: failures of owner, store and links

Cause: a roll-out must end with exactly one final state by its deadline when the owner is lost, the store is unavailable or a daemon is cut off. Change: the row says for how long a stage was written, so that a new owner need not wait again; a stage stays valid while nobody can read the store; a daemon stops the new version by itself when its answers are bad; the switch comes early enough for a change of the owner. Time-outs and slow answers count less once the new version has all requests.

--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -92,6 +92,9 @@
 	// PeerReadAt is the clock.Instant of the latest read of the configuration that
 	// another daemon reported, or 0. controller/loads writes it.
 	PeerReadAt atomic.Int64
+	// ReportsAt is the clock.Instant at which the load reports of other daemons were last
+	// added up, without those that are too old, or 0. controller/loads writes it.
+	ReportsAt atomic.Int64
 	// ReportingDaemons is the number of daemons whose load is known from a recent
 	// report, including this daemon. controller/loads writes it.
 	ReportingDaemons atomic.Int64
--- a/blackboard/rollouts.go
+++ b/blackboard/rollouts.go
@@ -58,6 +58,9 @@
 	// InUse is the version in use before the order, and To the new version. To is empty
 	// without an order.
 	InUse, To string
+	// Stopped reports whether this daemon sends nothing to the new version: its answers are
+	// bad, and the owner of the roll-out may be unable to write that down.
+	Stopped bool
 	// Canary is the set of new engines, by id, that get requests in the canary stage.
 	Canary map[string]bool
 	// Share and Slack bound the requests that this daemon may send to new engines in the
--- a/controller/loads/sum.go
+++ b/controller/loads/sum.go
@@ -41,6 +41,7 @@
 	c.board.NearPeersWithBatchDemand.Store(int64(t.waitingNearby))
 	c.board.ReportingDaemons.Store(int64(t.daemons) + 1)
 	c.board.PeerReadAt.Store(int64(t.lastReadAt))
+	c.board.ReportsAt.Store(int64(now))
 }
 
 // dropStale drops reports that are too old, and all that came from daemons that do not
--- a/controller/rollouts/owner.go
+++ b/controller/rollouts/owner.go
@@ -21,7 +21,7 @@
 	firstSeen clock.Instant
 	version   int64         // last known version of the row
 	changedAt clock.Instant // when it was first seen
-	stageFrom clock.Instant // when this daemon knew of the stage as its owner, or 0
+	stageFrom clock.Instant // an instant at which the stage was written already
 	stageOf   stageID       // stage to which stageFrom belongs
 }
 
@@ -33,7 +33,7 @@
 
 const (
 	// maxOrdersAge is the largest age of the last read of the orders with which a daemon
-	// decides. It is shorter than leaseTime, so that a daemon that takes a roll-out over has
+	// decides. It is no longer than leaseTime, so that a daemon that takes a roll-out over has
 	// read its order.
 	maxOrdersAge = 1800 * time.Millisecond
 	// writeRetryDelay is the time after a transaction that failed.
@@ -46,6 +46,16 @@
 func (o *ownership) observeRecord(r versionedRecord, now clock.Instant) {
 	if r.version != o.version {
 		o.version, o.changedAt = r.version, now
+		o.observeStage(r, now)
+	}
+}
+
+// observeStage notes for how long the stage was written at least. An earlier owner wrote into
+// the row how long it knew of it; that counts from when this daemon first saw that row.
+func (o *ownership) observeStage(r versionedRecord, now clock.Instant) {
+	from := now.Add(-time.Duration(r.InStageMs) * time.Millisecond)
+	if stage := (stageID{r.Order, r.State}); o.stageOf != stage || from < o.stageFrom {
+		o.stageFrom, o.stageOf = from, stage
 	}
 }
 
@@ -72,17 +82,19 @@
 	}
 }
 
-// rankDelay returns how long this daemon leaves a claim to others.
-func (c *Controller) rankDelay(service string) time.Duration {
+// rankDelay returns how long this daemon leaves a claim to others: not at all if it is the one
+// responsible, which is not the excluded daemon.
+func (c *Controller) rankDelay(service, excluded string, step time.Duration) time.Duration {
 	roster := c.board.Roster.Value()
-	first := roster.Responsible(rolloutWork+service, "")
+	work := rolloutWork + service
+	first := roster.Responsible(work, excluded)
 	switch roster.Self.Incarnation {
 	case first:
 		return 0
-	case roster.Responsible(rolloutWork+service, first):
-		return claimDelay
+	case roster.Responsible(work+" instead of the first", excluded):
+		return step
 	default:
-		return 2 * claimDelay
+		return 2 * step
 	}
 }
 
@@ -94,7 +106,7 @@
 	if s.orderSeen != order.Version {
 		s.orderSeen, s.firstSeen = order.Version, now
 	}
-	if now.Sub(s.firstSeen) < c.rankDelay(service) {
+	if now.Sub(s.firstSeen) < c.rankDelay(service, "", claimDelay) {
 		return
 	}
 	started := order.NotBefore
@@ -116,7 +128,7 @@
 	c.mu.Lock()
 	readAt := c.readAt
 	c.mu.Unlock()
-	if readAt.Sub(s.changedAt) < leaseTime+c.rankDelay(service) || now.Sub(readAt) > leaseTime {
+	if readAt.Sub(s.changedAt) < leaseTime+c.rankDelay(service, r.Owner, readInterval) || now.Sub(readAt) > leaseTime {
 		return
 	}
 	next := r.record
@@ -128,9 +140,6 @@
 // advance decides on the next stage of a roll-out that this daemon owns, and renews its
 // lease.
 func (c *Controller) advance(ctx context.Context, service string, s *serviceState, order *blackboard.RolloutOrder, r versionedRecord, now clock.Instant) {
-	if stage := (stageID{r.Order, r.State}); s.stageOf != stage {
-		s.stageFrom, s.stageOf = now, stage
-	}
 	totals := c.totals(service, s)
 	next := r.record
 	next.Old, next.New = totalsOf(totals)
@@ -140,7 +149,7 @@
 	}
 	switch decision {
 	case rollout.Switch:
-		next.State = stateSwitch
+		next.State, next.InStageMs = stateSwitch, 0
 		c.write(ctx, service, s, r.version, next, nil, "all requests go to the new version", reason)
 	case rollout.Complete:
 		next.State, next.InUse = stateCompleted, next.To
@@ -150,7 +159,7 @@
 		c.end(ctx, service, s, r.version, next, reason)
 	default:
 		if now.Sub(s.changedAt) >= leaseRenewal {
-			next.Renewed++
+			next.InStageMs = now.Sub(s.stageFrom).Milliseconds()
 			c.write(ctx, service, s, r.version, next, nil, "", "")
 		}
 	}
@@ -176,10 +185,7 @@
 	situation := &rollout.Situation{
 		Stage: r.stage(), Duration: duration, IsWanted: r.isOf(order), IsInUse: r.InUse == r.To,
 		InStage: now.Sub(s.stageFrom), Left: r.deadline() - c.board.StoreNow(),
-		Evidence: rollout.Evidence{
-			Routes: totals.Routes, Engines: totals.Engines,
-			Daemons: totals.Daemons, DaemonsWithAnswers: totals.DaemonsWithAnswers, DaemonsWithBad: totals.DaemonsWithBad,
-		},
+		Evidence: evidenceOf(totals, 0),
 	}
 	if cat := c.board.Catalog.Value(); cat != nil {
 		situation.IsKnown = cat.Service(service) != nil
--- a/controller/rollouts/record.go
+++ b/controller/rollouts/record.go
@@ -39,8 +39,9 @@
 	// Owner is the incarnation of the daemon that decides. Another one may take over when the
 	// row did not change for leaseTime.
 	Owner string `json:"owner"`
-	// Renewed counts the renewals of the lease.
-	Renewed int64 `json:"renewed"`
+	// InStageMs is for how long at least the stage was written when the owner last renewed its
+	// lease.
+	InStageMs int64 `json:"in_stage_ms"`
 	// Daemons is the number of daemons among which the slack of the canary stage is divided.
 	Daemons int    `json:"daemons"`
 	Verdict string `json:"verdict,omitempty"`
--- a/controller/rollouts/rollouts.go
+++ b/controller/rollouts/rollouts.go
@@ -27,20 +27,17 @@
 	// leaseRenewal is the time after which the owner of a roll-out writes its row again, and
 	// leaseTime the time without a change after which another daemon takes over.
 	leaseRenewal = 600 * time.Millisecond
-	leaseTime    = 2 * time.Second
+	leaseTime    = 1800 * time.Millisecond
 	// claimDelay is how long a daemon leaves the claim of a new order to the one responsible.
 	claimDelay = 900 * time.Millisecond
-	// shareFraction and slackFraction are the parts of the bounds that daemons use. The rest
-	// is for requests that daemons do not see, such as those of daemons that ended, and for
-	// daemons that know different members.
-	shareFraction = 0.7
-	slackFraction = 0.6
 )
 
 // Bounds limits what a bad version may get.
 type Bounds struct {
 	// Share is the share of the requests of a service, and Slack the number beyond it.
 	Share, Slack float64
+	// RollbackTime is the time after the 50th bad answer from which on it gets none.
+	RollbackTime time.Duration
 }
 
 // StatusEncoder returns the row that tells the operators the state of a roll-out of a
@@ -60,7 +57,6 @@
 
 	services map[string]*serviceState
 	events   chan func() // run by the goroutine of Run
-	outage   outageWatch
 
 	mu      sync.Mutex // guards the fields below
 	records map[string]versionedRecord
@@ -181,7 +177,6 @@
 
 // tick looks at the board once.
 func (c *Controller) tick(ctx context.Context, now clock.Instant) {
-	c.outage.observe(c.board, now)
 	c.updateServices(now)
 	c.publish()
 	c.board.RolloutsValidUntil.Store(int64(c.validUntil(now)))
@@ -215,5 +210,5 @@
 	if !live {
 		until = orders.ReadAt.Add(rollout.Validity + rollout.MinCanary)
 	}
-	return max(until, c.outage.validUntil(now))
+	return max(until, outageValidUntil(c.board, now))
 }
--- a/controller/rollouts/service.go
+++ b/controller/rollouts/service.go
@@ -17,6 +17,7 @@
 	order    int64                     // version of the order's row, or 0
 	counts   *blackboard.RolloutCounts // of the order, or nil
 	hasSlack bool                      // the daemon ran before the order was written
+	badSince clock.Instant             // since when the known answers show a bad version, or 0
 
 	ownership
 }
@@ -40,7 +41,7 @@
 		r, ok := records[service]
 		s.update(engines.OfService(service), orders.ByService[service], r, ok, now)
 		if s.counts != nil {
-			c.updateCounts(service, s)
+			c.updateCounts(service, s, now)
 		}
 	}
 }
@@ -84,16 +85,16 @@
 	if s.order == version {
 		return
 	}
-	s.order, s.counts, s.hasSlack = version, nil, false
+	s.order, s.counts, s.hasSlack, s.badSince = version, nil, false, 0
 	if version != 0 {
 		s.counts = new(blackboard.RolloutCounts)
 		s.hasSlack = order != nil && order.Version == version && order.NotBefore != 0
 	}
 }
 
-// updateCounts adds the routes and engines that have no counts yet, and the usual times of
-// the old version.
-func (c *Controller) updateCounts(service string, s *serviceState) {
+// updateCounts adds the routes and engines that have no counts yet, and updates what all
+// daemons' counts show: the usual times of the old version, and whether the new one is bad.
+func (c *Controller) updateCounts(service string, s *serviceState, now clock.Instant) {
 	routes := make(map[string]*blackboard.RouteCounts)
 	if old := s.counts.Routes.Load(); old != nil {
 		maps.Copy(routes, *old)
@@ -115,6 +116,44 @@
 		route.FirstEvent.Store(int64(first))
 		route.Interval.Store(int64(interval))
 	}
+	evidence := evidenceOf(totals, c.countNew(service))
+	switch {
+	case !evidence.IsBad():
+		s.badSince = 0
+	case s.badSince == 0:
+		s.badSince = now
+	}
+}
+
+// countNew returns the number of usable engines of the version that the order of the service
+// names.
+func (c *Controller) countNew(service string) int {
+	n := 0
+	versions := c.board.Rollouts.Value().ByService[service]
+	for _, e := range c.board.Engines.Value().OfService(service) {
+		if versions != nil && e.Version == versions.To && e.IsUsable() {
+			n++
+		}
+	}
+	return n
+}
+
+// evidenceOf returns the totals as evidence.
+func evidenceOf(t blackboard.RolloutTotals, newEngines int) rollout.Evidence {
+	return rollout.Evidence{
+		Routes: t.Routes, Engines: t.Engines, NewEngines: newEngines,
+		Daemons: t.Daemons, DaemonsWithAnswers: t.DaemonsWithAnswers, DaemonsWithBad: t.DaemonsWithBad,
+	}
+}
+
+// stops reports whether this daemon sends nothing to the new version: at once while the old
+// one serves the others, and after half the time for going back once there is no other. The
+// owner has then not written that the roll-out is reverted.
+func (c *Controller) stops(s *serviceState, stage blackboard.RolloutStage) bool {
+	if s.badSince == 0 {
+		return false
+	}
+	return stage == blackboard.RolloutCanary || clock.Since(s.badSince) > c.bounds.RollbackTime/2
 }
 
 func (c *Controller) updateEngineCounts(service string, s *serviceState) {
@@ -180,10 +219,11 @@
 		}
 		return v
 	}
-	v.Stage, v.To, v.Share = r.stage(), r.To, shareFraction*c.bounds.Share
+	v.Stage, v.To, v.Share = r.stage(), r.To, rollout.DaemonShare(c.bounds.Share)
 	if s.hasSlack {
-		v.Slack = slackFraction * c.bounds.Slack / float64(max(r.Daemons, c.board.Roster.Value().Size()))
+		v.Slack = rollout.DaemonSlack(c.bounds.Slack, max(r.Daemons, c.board.Roster.Value().Size()))
 	}
+	v.Stopped = c.stops(s, v.Stage)
 	if v.Stage == blackboard.RolloutCanary {
 		since := c.board.StoreNow() - time.Duration(r.StartedMs)*time.Millisecond
 		v.Canary = rollout.CanaryEngines(c.board.Engines.Value().OfService(service), v, rollout.CanaryWindow(since))
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -165,7 +165,9 @@
 	if settings.Rollouts == nil {
 		return
 	}
-	bounds := rollouts.Bounds{Share: settings.Rollouts.ExposeShare, Slack: settings.Rollouts.ExposeSlack}
+	bounds := rollouts.Bounds{
+		Share: settings.Rollouts.ExposeShare, Slack: settings.Rollouts.ExposeSlack, RollbackTime: settings.Rollouts.RollbackTime,
+	}
 	controller := rollouts.New(e.board, rows, platform.Decoder{}, bounds, e.log)
 	reg.MustRegister(rollouts.NewMetrics(e.board))
 	e.controllers.run(controller.RunFollower)
--- a/policy/rollout/stage.go
+++ b/policy/rollout/stage.go
@@ -27,9 +27,13 @@
 	// validityMargin covers the time between the end of the validity of a stage at another
 	// daemon and the end of the requests that it then cuts.
 	validityMargin = 300 * time.Millisecond
-	// finalMargin is the time before the deadline at which the final state is written: a
-	// slow store takes 1 s.
-	finalMargin = 1200 * time.Millisecond
+	// writeMargin is the time for the last transaction: a slow store takes 1 s.
+	writeMargin = 1200 * time.Millisecond
+	// finalTime is the time before the deadline up to which the new version is watched. If the
+	// owner is lost just then, another daemon can still write the final state in time.
+	finalTime = 2700 * time.Millisecond
+	// takeOverTime is the time in which another daemon takes over from an owner that is lost.
+	takeOverTime = 2 * time.Second
 	// maxSwitchFraction bounds the part of an order's duration that is kept for the switch
 	// stage, so that the canary stage of a short order gets answers.
 	maxSwitchFraction = 0.55
@@ -79,16 +83,16 @@
 // switchTime returns the time before the deadline at which the new version gets all requests:
 // as late as possible, since a version that turns bad later has then got few requests.
 func (s *Situation) switchTime() time.Duration {
-	wanted := max(Validity, s.LongestRequest) + validityMargin + finalMargin
+	wanted := max(Validity+takeOverTime, s.LongestRequest) + validityMargin + writeMargin
 	return max(min(wanted, time.Duration(maxSwitchFraction*float64(s.Duration))), s.latestSwitch())
 }
 
 // latestSwitch returns the time before the deadline after which it is too late to switch.
-func (s *Situation) latestSwitch() time.Duration { return Validity + validityMargin + finalMargin/2 }
+func (s *Situation) latestSwitch() time.Duration { return Validity + validityMargin + writeMargin/2 }
 
 func (s *Situation) nextInCanary() (Decision, string) {
 	switch {
-	case s.Left <= 0:
+	case s.Left < Validity+validityMargin:
 		return Revert, "there was no time left for the new version"
 	case s.InStage < MinCanary || s.Left > s.switchTime():
 		return Stay, ""
@@ -117,7 +121,7 @@
 func (s *Situation) nextInSwitch() (Decision, string) {
 	isOver := s.InStage >= Validity+validityMargin && s.OldRequests == 0
 	switch {
-	case isOver && s.Left <= finalMargin:
+	case isOver && s.Left <= finalTime:
 		return Complete, "no request uses the old version any more"
 	case s.Left <= 0 && s.InStage >= Validity+validityMargin && s.OldRequests > 0:
 		return Revert, "requests still ran at the old version at the deadline"
--- a/policy/rollout/track.go
+++ b/policy/rollout/track.go
@@ -11,9 +11,11 @@
 	// slowFactor is how many times the usual time of the old version an answer must take to
 	// be bad. Versions that take 1.3 times longer are good, and engines differ by as much.
 	slowFactor = 2.5
-	// slowFactorAlone holds once all requests go to the new version. The load may then have
-	// risen since the old version was measured.
-	slowFactorAlone = 4
+	// aloneInterval and aloneFirstEvent hold instead once all requests go to the new version.
+	// The load may then have risen five times since the old version was measured, which
+	// lengthens the time to the first event most.
+	aloneInterval   = 4.0
+	aloneFirstEvent = 8.0
 	// lossInterval is the time within which lost connections to one engine count once. They
 	// show one crash of its process.
 	lossInterval = 300 * time.Millisecond
@@ -32,10 +34,13 @@
 	NotCounted Outcome = iota
 	// Answered means that the engine gave a whole answer that is no failure.
 	Answered
-	// Failed means that the engine answered with a failure or was silent.
+	// Failed means that the engine answered with a failure.
 	Failed
 	// Lost means that the connection to the engine was lost.
 	Lost
+	// TimedOut means that the answer did not come in time. Once all requests go to the new
+	// version, that may be due to the load alone, and shows nothing.
+	TimedOut
 )
 
 // Tracker counts one attempt at an engine for the comparison of the versions. The zero value
@@ -43,7 +48,8 @@
 type Tracker struct {
 	route           *blackboard.RouteCounts
 	version, engine *blackboard.AnswerCounts
-	factor          float64
+	alone           bool // all requests went to the new version when the attempt was sent
+	cold            bool // the engine was in cold start then, in which it may be slow
 
 	sentAt, firstAt, lastAt clock.Instant
 	events                  int
@@ -55,14 +61,12 @@
 	if v == nil || v.versions.Counts == nil {
 		return Tracker{}
 	}
-	t := Tracker{route: v.versions.Counts.Route(route), engine: v.versions.Counts.Engine(e.ID), factor: slowFactor, sentAt: v.now}
+	t := Tracker{route: v.versions.Counts.Route(route), engine: v.versions.Counts.Engine(e.ID), sentAt: v.now}
 	index := versionIndex(v.versions, e)
 	if t.route == nil || t.engine == nil || index < 0 {
 		return Tracker{}
 	}
-	if v.versions.Stage == blackboard.RolloutSwitch {
-		t.factor = slowFactorAlone
-	}
+	t.alone, t.cold = v.versions.Stage == blackboard.RolloutSwitch, e.IsCold(v.now)
 	t.version = &t.route.Versions[index]
 	t.version.Sent.Add(1)
 	t.engine.Sent.Add(1)
@@ -96,7 +100,7 @@
 
 // End counts how the attempt ended.
 func (t *Tracker) End(outcome Outcome, now clock.Instant) {
-	if t.version == nil || outcome == NotCounted {
+	if t.version == nil || outcome == NotCounted || outcome == TimedOut && t.alone {
 		return
 	}
 	bad := outcome != Answered
@@ -128,14 +132,21 @@
 
 // isSlow reports whether the answer took several times longer than usual at the old version.
 func (t *Tracker) isSlow() bool {
-	first, interval := t.firstAt.Sub(t.sentAt), t.interval()
-	return t.exceeds(first, t.route.FirstEvent.Load(), minFirstEvent) || t.exceeds(interval, t.route.Interval.Load(), minInterval)
+	if t.cold {
+		return false
+	}
+	firstFactor, intervalFactor := slowFactor, slowFactor
+	if t.alone {
+		firstFactor, intervalFactor = aloneFirstEvent, aloneInterval
+	}
+	return exceeds(t.firstAt.Sub(t.sentAt), firstFactor, t.route.FirstEvent.Load(), minFirstEvent) ||
+		exceeds(t.interval(), intervalFactor, t.route.Interval.Load(), minInterval)
 }
 
-// exceeds reports whether the time is several times the usual one, in ns, and above the
+// exceeds reports whether the time is the factor times the usual one, in ns, and above the
 // minimum.
-func (t *Tracker) exceeds(d time.Duration, usual int64, minimum time.Duration) bool {
-	return usual > 0 && d > minimum && float64(d) > t.factor*float64(usual)
+func exceeds(d time.Duration, factor float64, usual int64, minimum time.Duration) bool {
+	return usual > 0 && d > minimum && float64(d) > factor*float64(usual)
 }
 
 func (t *Tracker) recordTimes() {
--- a/policy/rollout/view.go
+++ b/policy/rollout/view.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	if v.versions.Stage == blackboard.RolloutSwitch {
-		return e.Version == v.versions.To && v.now < v.validUntil.Add(newVersionGrace)
+		return e.Version == v.versions.To && !v.versions.Stopped && v.now < v.validUntil.Add(newVersionGrace)
 	}
 	return e.Version == v.versions.InUse && v.now < v.validUntil
 }
@@ -85,25 +85,6 @@
 	return choose()
 }
 
-// takeCanary reports whether this daemon may send one more request to a canary engine, and
-// counts it then. The daemons need not tell each other what they sent: the sum of what each
-// may send by the requests that it admitted stays below the bound.
-func (v *View) takeCanary() bool {
-	s := v.versions
-	if s.Stage != blackboard.RolloutCanary || v.now >= v.validUntil || len(s.Canary) == 0 {
-		return false
-	}
-	for {
-		sent := s.Counts.CanarySends.Load()
-		if float64(sent+1) > s.Slack+s.Share*float64(s.Counts.Admitted.Load()) {
-			return false
-		}
-		if s.Counts.CanarySends.CompareAndSwap(sent, sent+1) {
-			return true
-		}
-	}
-}
-
 // Duty says what becomes of a request that runs at an engine.
 type Duty int
 
