--- a/controller/rollouts/fleet_test.go
+++ b/controller/rollouts/fleet_test.go
@@ -42,6 +42,7 @@
 	bad      func(sinceOrder time.Duration, route string) bool // of the new version
 	orderAt  clock.Instant
 	all      int // requests since the order
+	refused  int // of these, without an engine
 }
 
 // simulatedDaemon is one daemon. It implements store.Store with the outages of its own link.
@@ -237,6 +238,9 @@
 		return placement.Choose(d.board.Engines.Value().OfService("svc"), &query)
 	})
 	if e == nil {
+		if f.orderAt != 0 {
+			f.refused++
+		}
 		return
 	}
 	tracker := view.Track(e, route)
--- a/controller/rollouts/rollouts.go
+++ b/controller/rollouts/rollouts.go
@@ -61,6 +61,34 @@
 	mu      sync.Mutex // guards the fields below
 	records map[string]versionedRecord
 	readAt  clock.Instant // when the last read of the table was sent, or 0
+	orders  ordersRead
+}
+
+// ordersRead is what the reads of the operators' orders were so far.
+type ordersRead struct {
+	lastAt clock.Instant // when the last one was sent, or 0
+	// unbrokenFrom is when the first of those was sent between which no roll-out can have
+	// begun and been completed unseen.
+	unbrokenFrom clock.Instant
+	// idleUntil is until when this daemon may use the versions that it knew when no read
+	// showed an order that has not ended.
+	idleUntil clock.Instant
+}
+
+// idleValidity is how long a daemon that knows of no order uses the versions that it knows.
+// The canary stage of an order that it does not know takes rollout.MinCanary at least.
+const idleValidity = rollout.Validity + rollout.MinCanary
+
+// observeOrders notes a new read of the orders. The caller holds c.mu.
+func (c *Controller) observeOrders(orders blackboard.RolloutOrders) {
+	o := &c.orders
+	if orders.ReadAt == o.lastAt {
+		return
+	}
+	if o.lastAt == 0 || orders.ReadAt.Sub(o.lastAt) > idleValidity {
+		o.unbrokenFrom = orders.ReadAt
+	}
+	o.lastAt = orders.ReadAt
 }
 
 // New returns a controller. The caller must have published an empty section Rollouts.
@@ -96,7 +124,8 @@
 	orders := c.board.RolloutOrders.Value()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.readAt == 0 || c.hasLiveOrder(orders)
+	c.observeOrders(orders)
+	return c.readAt == 0 || c.readAt < c.orders.unbrokenFrom || c.hasLiveOrder(orders)
 }
 
 // hasLiveOrder reports whether an order has not ended. The caller holds c.mu.
@@ -195,20 +224,18 @@
 	return c.readAt != 0 && c.board.RolloutOrders.Value().ReadAt != 0
 }
 
-// validUntil returns until when this daemon may use what it published. While a daemon knows
-// of no order it may do so longer, since the canary stage of an order that it does not know
-// takes rollout.MinCanary at least. While nobody can read the store no stage can change.
+// validUntil returns until when this daemon may use what it published. While nobody can read
+// the store no stage can change.
 func (c *Controller) validUntil(now clock.Instant) clock.Instant {
 	orders := c.board.RolloutOrders.Value()
 	c.mu.Lock()
-	readAt, live := c.readAt, c.hasLiveOrder(orders)
-	c.mu.Unlock()
-	if readAt == 0 || orders.ReadAt == 0 {
+	defer c.mu.Unlock()
+	c.observeOrders(orders)
+	if c.readAt == 0 || orders.ReadAt == 0 {
 		return 0
 	}
-	until := readAt.Add(rollout.Validity)
-	if !live {
-		until = orders.ReadAt.Add(rollout.Validity + rollout.MinCanary)
+	if c.readAt >= c.orders.unbrokenFrom && !c.hasLiveOrder(orders) {
+		c.orders.idleUntil = orders.ReadAt.Add(idleValidity)
 	}
-	return max(until, outageValidUntil(c.board, now))
+	return max(c.readAt.Add(rollout.Validity), c.orders.idleUntil, outageValidUntil(c.board, now))
 }
--- a/controller/rollouts/rollouts_test.go
+++ b/controller/rollouts/rollouts_test.go
@@ -155,7 +155,8 @@
 	}
 }
 
-// TestOrdersThatCannotBeCarriedOut guards against orders without a final state.
+// TestOrdersThatCannotBeCarriedOut guards against orders without a final state, and against
+// requests that are refused when an order begins or ends.
 func TestOrdersThatCannotBeCarriedOut(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
@@ -195,6 +196,9 @@
 			if finals := f.await(len(c.want), 11*time.Second); !slices.Equal(finals, c.want) {
 				t.Errorf("final states %v, want %v", finals, c.want)
 			}
+			if f.refused > 0 {
+				t.Errorf("%d of %d requests were refused", f.refused, f.all)
+			}
 			f.checkBounds(false)
 		})
 	}
--- a/entrytest/rollout_test.go
+++ b/entrytest/rollout_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,9 +48,13 @@
 	return f
 }
 
-// pacedStream sends a stream that takes 200 ms.
+// pacedStream sends a stream that takes 200 ms, or 0.7 s if it can move to another engine.
 func pacedStream(e *engine, w http.ResponseWriter, r *http.Request, _ int) {
-	streamUntil(e, w, r, e.eventCount, 40*time.Millisecond)
+	pause := 40 * time.Millisecond
+	if !strings.HasPrefix(r.RequestURI, "/once/") && !strings.HasPrefix(r.RequestURI, "/repeat/") {
+		pause = 140 * time.Millisecond
+	}
+	streamUntil(e, w, r, e.eventCount, pause)
 }
 
 // startVersion starts an engine whose row carries the version.
@@ -67,7 +72,7 @@
 		path := []string{"/once/a", "/resume/a", "/repeat/a"}[i%3]
 		f.callers.Go(func() {
 			f.sent.Add(1)
-			if got := d.send(ctx, f.t, request{path: path, key: key}); got.status != http.StatusOK && ctx.Err() == nil {
+			if got := d.send(ctx, f.t, request{path: path, key: key}); (got.status != http.StatusOK || got.body != f.old[0].fullStream()) && ctx.Err() == nil {
 				f.failed.Add(1)
 			}
 		})
@@ -117,11 +122,16 @@
 	return n
 }
 
-// TestGoodVersionIsCompleted guards against a good version that misses its deadline, and
-// against requests that reach old engines after the final state.
+// TestGoodVersionIsCompleted guards against a good version that misses its deadline, requests
+// that reach old engines after the final state, and streams and items that are cut because
+// they began at an old one.
 func TestGoodVersionIsCompleted(t *testing.T) {
 	t.Parallel()
 	f := newRolloutFleet(t, pacedStream)
+	for i := range 8 {
+		id := fmt.Sprint("job-", i)
+		time.AfterFunc(time.Duration(i)*1500*time.Millisecond, func() { f.daemons[i%3].submitJob(t, id, 4, 10) })
+	}
 	time.Sleep(2 * time.Second)
 	if n := count(f.new); n != 0 {
 		t.Errorf("engines of a version without an order got %d requests", n)
@@ -139,9 +149,33 @@
 	if n := f.failed.Load(); n > 0 {
 		t.Errorf("%d of %d requests failed", n, f.sent.Load())
 	}
+	for i := range 8 {
+		f.daemons[i%3].checkCompletes(t, fmt.Sprint("job-", i), 4, fullOutput)
+	}
 	t.Logf("completed after %v; old %d, new %d", took, atEnd, count(f.new))
 }
 
+// TestFailingEnginesOfEachVersion guards against a good version that is reverted because of an
+// engine of either version that fails.
+func TestFailingEnginesOfEachVersion(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, func(e *engine, w http.ResponseWriter, r *http.Request, n int) {
+		if e.id == "new-1" {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		pacedStream(e, w, r, n)
+	})
+	time.Sleep(time.Second)
+	f.order(10)
+	f.old[2].mu.Lock()
+	f.old[2].behave = failWith(http.StatusInternalServerError)
+	f.old[2].mu.Unlock()
+	if state, took := f.awaitEnd(11 * time.Second); state != "completed" || took > 10*time.Second {
+		t.Errorf("state %q after %v", state, took)
+	}
+}
+
 // TestBadVersionIsReverted guards against a bad version that gets more requests than the bound
 // allows, or is not reverted.
 func TestBadVersionIsReverted(t *testing.T) {
@@ -160,7 +194,7 @@
 		},
 		"four times slower": slow,
 		"slow on one route": func(e *engine, w http.ResponseWriter, r *http.Request, n int) {
-			if r.URL.Path == "/resume/a" {
+			if r.URL.Path == "/once/a" {
 				slow(e, w, r, n)
 				return
 			}
