Roll-outs in fleets of many daemons with few requests each

Cause: with a fixed part of its own requests, a daemon of a large fleet sends none to the new version in the first seconds, so that a good version lacks answers. Change: daemons round their part by a hash of their incarnation; above 100 daemons they read the stage every 0.6 s.

--- a/controller/rollouts/fleet_test.go
+++ b/controller/rollouts/fleet_test.go
@@ -124,6 +124,9 @@
 	for i := range n {
 		f.daemons = append(f.daemons, f.newDaemon(members, i))
 	}
+	for _, d := range f.daemons {
+		d.run()
+	}
 	go f.pump()
 	return f
 }
@@ -147,14 +150,18 @@
 		})
 	}
 	d.board.Engines.Publish(blackboard.NewEngines(engines))
-	ctx, cancel := context.WithCancel(f.ctx)
-	d.cancel = cancel
-	f.t.Cleanup(cancel)
 	d.controller = New(d.board, d, statusRows{}, Bounds{Share: 0.1, Slack: 50, RollbackTime: 5 * time.Second}, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	return d
+}
+
+// run starts the daemon until the test ends or it is cancelled.
+func (d *simulatedDaemon) run() {
+	ctx, cancel := context.WithCancel(d.fleet.ctx)
+	d.cancel = cancel
+	d.fleet.t.Cleanup(cancel)
 	go d.controller.RunFollower(ctx)
 	go d.controller.Run(ctx)
 	go d.serve(ctx)
-	return d
 }
 
 // pump copies from board to board what other controllers would.
@@ -164,8 +171,8 @@
 		for _, d := range f.daemons {
 			d.board.SyncStoreClock(now.Sub(f.start), now)
 			f.readOrders(d, now)
-			f.exchange(d, now)
 		}
+		f.exchange(now)
 		time.Sleep(30 * time.Millisecond)
 	}
 }
@@ -190,37 +197,46 @@
 	d.board.RolloutOrders.Publish(orders)
 }
 
-// exchange gives the daemon the totals of the others that it hears.
-func (f *simulatedFleet) exchange(d *simulatedDaemon, now clock.Instant) {
-	totals := make(map[string]*blackboard.RolloutTotals)
-	heard, readAt := int64(1), clock.Instant(0)
-	for _, p := range f.daemons {
-		if p == d || p.isCutOff.Load() || p.isKilled.Load() || d.isCutOff.Load() {
-			continue
+// exchange gives each daemon the totals of the others that it hears.
+func (f *simulatedFleet) exchange(now clock.Instant) {
+	own := make(map[*simulatedDaemon]*blackboard.RolloutTotals)
+	for _, d := range f.daemons {
+		if v := d.board.Rollouts.Value().ByService["svc"]; v != nil && v.Counts != nil {
+			totals := rollout.OwnTotals(v, d.board.Engines.Value().OfService("svc"))
+			own[d] = &totals
 		}
-		heard++
-		readAt = max(readAt, p.board.ConfigRead.Value().SentAt)
-		v := p.board.Rollouts.Value().ByService["svc"]
-		if v == nil || v.Counts == nil {
-			continue
-		}
-		own := rollout.OwnTotals(v, p.board.Engines.Value().OfService("svc"))
-		if old := totals["svc"]; old != nil && old.Order == own.Order {
-			own = rollout.AddTotals(*old, own)
+	}
+	for _, d := range f.daemons {
+		heard, readAt := int64(1), clock.Instant(0)
+		var sum *blackboard.RolloutTotals
+		for _, p := range f.daemons {
+			if p == d || p.isCutOff.Load() || p.isKilled.Load() || d.isCutOff.Load() {
+				continue
+			}
+			heard++
+			readAt = max(readAt, p.board.ConfigRead.Value().SentAt)
+			next := own[p]
+			if next != nil && sum != nil && sum.Order == next.Order {
+				added := rollout.AddTotals(*sum, *next)
+				next = &added
+			}
+			if next != nil {
+				sum = next
+			}
 		}
-		totals["svc"] = &own
+		d.board.ReportingDaemons.Store(heard)
+		d.board.ReportsAt.Store(int64(now))
+		d.board.PeerReadAt.Store(int64(readAt))
+		d.board.PeerRollouts.Publish(map[string]*blackboard.RolloutTotals{"svc": sum})
 	}
-	d.board.ReportingDaemons.Store(heard)
-	d.board.ReportsAt.Store(int64(now))
-	d.board.PeerReadAt.Store(int64(readAt))
-	d.board.PeerRollouts.Publish(totals)
 }
 
-// serve sends 40 requests a second to engines.
+// serve sends requests to engines; all daemons together send 160 a second.
 func (d *simulatedDaemon) serve(ctx context.Context) {
+	f := d.fleet
 	for i := 0; ctx.Err() == nil; i++ {
 		d.request([]string{"a", "b"}[i%2])
-		time.Sleep(25 * time.Millisecond)
+		time.Sleep(time.Duration(len(f.daemons)) * 6 * time.Millisecond)
 	}
 }
 
--- a/controller/rollouts/rollouts.go
+++ b/controller/rollouts/rollouts.go
@@ -22,8 +22,12 @@
 const (
 	// tickInterval is the time between two looks at the board.
 	tickInterval = 100 * time.Millisecond
-	// readInterval is the time between two reads of the table while there is an order.
-	readInterval = 300 * time.Millisecond
+	// readInterval is the time between two reads of the table while there is an order,
+	// and largeReadInterval the same in a fleet of more than largeFleet daemons, whose reads
+	// would be a burden for the store.
+	readInterval      = 300 * time.Millisecond
+	largeReadInterval = 600 * time.Millisecond
+	largeFleet        = 100
 	// leaseRenewal is the time after which the owner of a roll-out writes its row again, and
 	// leaseTime the time without a change after which another daemon takes over.
 	leaseRenewal = 600 * time.Millisecond
@@ -115,7 +119,11 @@
 		if err == nil {
 			c.applyRead(update, sent)
 		}
-		timer.Sleep(ctx, readInterval)
+		interval := readInterval
+		if c.board.Roster.Value().Size() > largeFleet {
+			interval = largeReadInterval
+		}
+		timer.Sleep(ctx, interval)
 	}
 }
 
--- a/controller/rollouts/rollouts_test.go
+++ b/controller/rollouts/rollouts_test.go
@@ -155,6 +155,25 @@
 	}
 }
 
+// TestManyDaemonsWithFewRequests guards against a fleet in which no daemon has enough requests
+// to send one to the new version.
+func TestManyDaemonsWithFewRequests(t *testing.T) {
+	t.Parallel()
+	for name, want := range map[string]string{"good": stateCompleted, "bad": stateReverted} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newSimulatedFleet(t, 120)
+			f.bad = func(time.Duration, string) bool { return want == stateReverted }
+			time.Sleep(time.Second)
+			f.command(7, "v2", orderTime)
+			if finals := f.await(1, orderTime); !slices.Equal(finals, []string{want}) {
+				t.Errorf("final states %v, want %v", finals, want)
+			}
+			f.checkBounds(want == stateReverted)
+		})
+	}
+}
+
 // TestOrdersThatCannotBeCarriedOut guards against orders without a final state, and against
 // requests that are refused when an order begins or ends.
 func TestOrdersThatCannotBeCarriedOut(t *testing.T) {
--- a/controller/rollouts/service.go
+++ b/controller/rollouts/service.go
@@ -220,8 +220,9 @@
 		return v
 	}
 	v.Stage, v.To, v.Share = r.stage(), r.To, rollout.DaemonShare(c.bounds.Share)
+	v.Slack = rollout.DaemonPhase(c.board.Roster.Value().Self.Incarnation, r.Order)
 	if s.hasSlack {
-		v.Slack = rollout.DaemonSlack(c.bounds.Slack, max(r.Daemons, c.board.Roster.Value().Size()))
+		v.Slack += rollout.DaemonSlack(c.bounds.Slack, max(r.Daemons, c.board.Roster.Value().Size()))
 	}
 	v.Stopped = c.stops(s, v.Stage)
 	if v.Stage == blackboard.RolloutCanary {
--- a/policy/rollout/rollout_test.go
+++ b/policy/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,17 +56,22 @@
 		known := rapid.IntRange(1, 12).Draw(t, "daemons known to the owner")
 		unknown := rapid.IntRange(0, 2).Draw(t, "daemons unknown to it")
 		var daemons []*exposedDaemon
+		order, starts := rapid.Int64().Draw(t, "order"), 0
+		phase := func() float64 {
+			starts++
+			return DaemonPhase(fmt.Sprint("start ", starts), order)
+		}
 		for range known + unknown {
-			daemons = append(daemons, newExposedDaemon(DaemonSlack(50, known)))
+			daemons = append(daemons, newExposedDaemon(DaemonSlack(50, known)+phase()))
 		}
 		all, exposed := 0, 0
 		for range rapid.IntRange(1, 2000).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon")
 			switch step := rapid.IntRange(0, 99).Draw(t, "step"); {
 			case step == 0:
-				daemons[i] = newExposedDaemon(0) // restarted: it has not seen the time before the order
+				daemons[i] = newExposedDaemon(phase()) // restarted: it has not seen the time before the order
 			case step == 1:
-				daemons = append(daemons, newExposedDaemon(0))
+				daemons = append(daemons, newExposedDaemon(phase()))
 			case step == 2:
 				daemons[i].valid = !daemons[i].valid
 			default:
--- a/policy/rollout/share.go
+++ b/policy/rollout/share.go
@@ -1,11 +1,15 @@
 package rollout
 
-import "github.com/baobablanding/baobablanding/blackboard"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+)
 
 // Daemons keep to the bound on what a bad version gets without telling each other: each sends
 // a fixed part of the requests that it admitted itself, and a fixed number beyond that if it
 // ran before the order. A daemon that restarts begins again with no request admitted and none
-// sent, and without that number, so that no schedule of restarts and losses exceeds the sum.
+// sent, and without that number, so that restarts and losses do not exceed the sum.
 const (
 	// shareFraction and slackFraction are the parts of the bounds that daemons use. The rest
 	// covers requests that an engine got twice, and daemons that know different members.
@@ -26,6 +30,13 @@
 	return min(slackFraction*bound/float64(max(daemons, 1)), maxSlackFraction*bound)
 }
 
+// DaemonPhase returns a number in [0, 1), by which daemons with few requests round what they
+// may send: some send one early, others late, and their sum is as large as without rounding.
+// Without it, no daemon of a large fleet would send one in the first seconds.
+func DaemonPhase(incarnation string, order int64) float64 {
+	return float64(blackboard.HashPair(xxhash.Sum64String(incarnation), uint64(order))>>11) / (1 << 53)
+}
+
 // takeCanary reports whether this daemon may send one more request to a canary engine, and
 // counts it then.
 func (v *View) takeCanary() bool {
