--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -83,6 +83,20 @@
 	// SoundSegments are the prompt segments that engines answered lately. Requests
 	// and batch items record them.
 	SoundSegments SoundSegments
+	// RolloutOrders holds the operators' orders to roll out engine versions.
+	// controller/directory writes it.
+	RolloutOrders Section[RolloutOrders]
+	// Rollouts says which versions of engines may be used, or is nil if the settings do not
+	// ask for roll-outs; all versions are used then. controller/rollouts writes it, after
+	// package daemon has published an empty one.
+	Rollouts Section[*Rollouts]
+	// RolloutsValidUntil is the clock.Instant until which this daemon may use Rollouts.
+	// Other daemons may have replaced the engines in use after it. controller/rollouts writes
+	// it.
+	RolloutsValidUntil atomic.Int64
+	// PeerRollouts is what other daemons counted of the current orders, by service.
+	// controller/loads writes it.
+	PeerRollouts Section[map[string]*RolloutTotals]
 	// PeersWithBatchDemand is the number of other daemons on which batch items wait.
 	// controller/loads writes it.
 	PeersWithBatchDemand atomic.Int64
@@ -92,6 +106,9 @@
 	// PeerReadAt is the clock.Instant of the latest read of the configuration that
 	// another daemon reported, or 0. controller/loads writes it.
 	PeerReadAt atomic.Int64
+	// ReportsAt is the clock.Instant at which the load reports of other daemons were last
+	// added up, without those that are too old, or 0. controller/loads writes it.
+	ReportsAt atomic.Int64
 	// ReportingDaemons is the number of daemons whose load is known from a recent
 	// report, including this daemon. controller/loads writes it.
 	ReportingDaemons atomic.Int64
