--- a/blackboard/itemtrial.go
+++ b/blackboard/itemtrial.go
@@ -10,7 +10,8 @@
 // HeldSegments is the set of quarantined segments for whose trial batch items wait on this
 // daemon. It is immutable.
 type HeldSegments struct {
-	// Sets holds the quarantined segments of each item, sorted, each combination once.
+	// Sets holds the quarantined segments of each item, sorted, each combination once, the
+	// smallest first.
 	Sets [][]Segment
 }
 
--- a/controller/jobs/held.go
+++ b/controller/jobs/held.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -24,9 +25,12 @@
 	}
 }
 
-// publish publishes the sets, in order, if they changed.
+// publish publishes the sets if they changed. The smallest come first: a trial of a segment alone
+// may clear it, while with a segment that crashes engines it only waits longer.
 func (h *heldSets) publish(board *blackboard.EntryBoard) {
-	slices.SortFunc(h.sets, slices.Compare)
+	slices.SortFunc(h.sets, func(a, b []blackboard.Segment) int {
+		return cmp.Or(cmp.Compare(len(a), len(b)), slices.Compare(a, b))
+	})
 	if !slices.EqualFunc(board.HeldSegments.Value().Sets, h.sets, slices.Equal) {
 		board.HeldSegments.Publish(&blackboard.HeldSegments{Sets: h.sets})
 	}
@@ -73,7 +77,7 @@
 // logHeldJob logs once that items of the job wait although the job is due, with the reasons, and
 // for one that waits for a trial with the segment, the next trial and who took the last one.
 func (c *Controller) logHeldJob(o *ownedJob, holds *[blackboard.HoldReasons]int, now time.Duration) {
-	if o.heldLogged || len(o.waiting) == 0 || now <= o.head.Submitted+o.head.DueAfter {
+	if o.heldLogged || len(o.waiting) == 0 || o.head.DueAfter <= 0 || now <= o.head.Submitted+o.head.DueAfter {
 		return
 	}
 	o.heldLogged = true
