Quarantine: ends under a segment known as sound do not speak for it

A segment that was answered at some daemons and turned deadly: their ends of engines counted as ends without the segment, and could void the evidence of the daemons that had not answered it. The report of an end now names all segments of the request to this daemon's ledger. Each lost request is checked, at most 64 at once, so that the ends name all of them.

--- a/blackboard/quarantine.go
+++ b/blackboard/quarantine.go
@@ -22,6 +22,8 @@
 	// Segments are the shared segments of the request that were not known to be sound. Without
 	// any, the crash is only the end of an engine, and Request is 0.
 	Segments []Segment
+	// Held are all shared segments of the request. Other daemons are not told of them.
+	Held []Segment
 	// SeenAt is when this daemon found that the engine had ended.
 	SeenAt clock.Instant
 }
--- a/controller/jobs/quarantine.go
+++ b/controller/jobs/quarantine.go
@@ -142,7 +142,7 @@
 // checkCrash returns crashed instead of interrupted if the engine crashed with the item.
 func (c *Controller) checkCrash(ctx context.Context, r *itemRun, outcome runOutcome, err error) runOutcome {
 	if outcome == interrupted && r.written() {
-		c.engines.Crashes.ObserveEnd(r.engine, err)
+		c.engines.Crashes.ObserveEnd(&r.message, r.engine, err)
 		return outcome
 	}
 	if outcome == interrupted && c.engines.Crashes.Check(ctx, &r.message, r.engine, err) {
--- a/controller/quarantine/quarantine.go
+++ b/controller/quarantine/quarantine.go
@@ -95,7 +95,7 @@
 		c.metrics.ownCrashes.Inc()
 		c.log.Warn().Str("engine", crash.Engine).Int64("started_at_ms", crash.StartedAtMs).Str("request_hash", hex(crash.Request)).
 			Strs("segments", segmentNames(crash.Segments)).Msg("engine ended before it began to answer a request")
-	} else {
+	} else if !c.ledger.KnowsEnd(&claim) {
 		c.metrics.ownEnds.Inc()
 		c.log.Warn().Str("engine", crash.Engine).Int64("started_at_ms", crash.StartedAtMs).Msg("engine ended under requests with sound segments")
 	}
--- a/policy/quarantine/decision.go
+++ b/policy/quarantine/decision.go
@@ -108,10 +108,13 @@
 		return l.extend(v, a.crashes)
 	}
 	counted := slices.DeleteFunc(slices.Clone(a.counted), func(c *blackboard.CrashClaim) bool {
-		// Two decisions on the same crashes do not explain each other away.
-		return v == nil && d.isExplained(c, s) || d.isInBurst(c, a)
+		return v == nil && d.isExplained(c, s) // two decisions on the same crashes do not explain each other away
 	})
 	isJustified := isSufficient(counted, a.answered, l.othersEnded(a.crashes))
+	if isJustified {
+		counted = slices.DeleteFunc(counted, func(c *blackboard.CrashClaim) bool { return d.isInBurst(c, s) })
+		isJustified = isSufficient(counted, a.answered, l.othersEnded(a.crashes))
+	}
 	if v != nil {
 		if l.overrule(v, isJustified, d.isVoid(s)) {
 			return []Event{{Kind: Overruled, Decision: v}}
--- a/policy/quarantine/ends.go
+++ b/policy/quarantine/ends.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -13,6 +14,8 @@
 	burstTime = time.Second
 	// maxEnds bounds the ends of engines in a ledger.
 	maxEnds = 512
+	// maxHeldByEnd bounds the segments that are kept for an end.
+	maxHeldByEnd = 64
 )
 
 // engineEnd is the end of an engine, whatever it was running.
@@ -20,6 +23,14 @@
 	at       clock.Instant
 	reporter string // of the first report
 	isSure   bool   // this daemon saw it, or two others reported it
+	// held are segments of this daemon's requests that the engine held, also sound ones.
+	held []blackboard.Segment
+}
+
+// KnowsEnd reports whether the end of the engine in the claim is known.
+func (l *Ledger) KnowsEnd(c *blackboard.CrashClaim) bool {
+	_, known := l.ends[startOf(c)]
+	return known
 }
 
 // noteEnd records the end of an engine that a daemon reports. Claims of one other daemon alone
@@ -36,6 +47,9 @@
 	}
 	end.at = min(end.at, c.SeenAt)
 	end.isSure = end.isSure || c.Reporter == l.self || c.Reporter != end.reporter
+	if room := maxHeldByEnd - len(end.held); room > 0 {
+		end.held = append(end.held, c.Held[:min(len(c.Held), room)]...)
+	}
 	l.ends[start] = end
 	if end.isSure && !wasSure {
 		l.reconsiderNear(end.at)
@@ -55,10 +69,12 @@
 }
 
 // isInBurst reports whether the crash of an engine is no evidence against the segment, because
-// within a second at least as many engines ended that held no request with it, and that no
-// quarantined segment explains. Two deadly segments may crash engines at the same time, so that
-// a few other ends do not void many crashes.
-func (d *evidenceIndex) isInBurst(c *blackboard.CrashClaim, a *segmentEvidence) bool {
+// within a second at least as many engines ended that held no request with it, as far as is
+// known, and that no quarantined segment explains. An engine that held a request of a daemon which
+// knows the segment as sound counts for neither: the segment may have turned deadly. Two deadly
+// segments may crash engines at the same time, so that a few other ends do not void many crashes.
+func (d *evidenceIndex) isInBurst(c *blackboard.CrashClaim, s blackboard.Segment) bool {
+	a := d.bySegment[s]
 	suspect := make(map[engineStart]bool)
 	with := make(map[engineStart]bool)
 	for _, o := range a.crashes {
@@ -69,7 +85,7 @@
 	}
 	without := 0
 	for start, end := range d.ends {
-		if end.isSure && !suspect[start] && end.at.Sub(c.SeenAt).Abs() < burstTime && !d.isExplainedEnd(start) {
+		if end.isSure && !suspect[start] && !slices.Contains(end.held, s) && end.at.Sub(c.SeenAt).Abs() < burstTime && !d.isExplainedEnd(start) {
 			without++
 		}
 	}
@@ -83,7 +99,7 @@
 		return false
 	}
 	for _, c := range a.crashes {
-		if !d.isInBurst(c, a) {
+		if !d.isInBurst(c, s) {
 			return false
 		}
 	}
--- a/policy/quarantine/ledger_test.go
+++ b/policy/quarantine/ledger_test.go
@@ -18,7 +18,8 @@
 // input line is a crash "time reporter engine data-centre request segment...", a decision
 // "time reporter decision segment", an answer "time answer segment", with the time at which it
 // was given if it is learned later, or a "time check"; a crash without segments is the end of an
-// engine that had only sound requests. Times are in ms and in order.
+// engine that had only sound requests. A segment with + was known to be sound. Times are in ms and
+// in order.
 func TestDecisions(t *testing.T) {
 	datadriven.RunTest(t, "testdata/decisions", func(t *testing.T, d *datadriven.TestData) string {
 		daemons := 9
@@ -59,6 +60,10 @@
 		c.Reporter, c.SumOf, _ = strings.Cut(words[0], "@")
 		c.EngineCrash = blackboard.EngineCrash{Engine: words[1], Request: uint64(words[3][0]), SeenAt: now}
 		for _, s := range words[4:] {
+			if name, isSound := strings.CutPrefix(s, "+"); isSound {
+				c.Held = append(c.Held, segmentNamed(name))
+				continue
+			}
 			c.Segments = append(c.Segments, segmentNamed(s))
 		}
 		l.AddCrash(c, now)
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -25,19 +25,20 @@
 	crashCheckDelay = 30 * time.Millisecond
 	// endCheckTimeout bounds the check of an engine for ObserveEnd.
 	endCheckTimeout = time.Second
+	// maxEndChecks bounds the checks for ObserveEnd that run at once. An engine that ends
+	// takes about ten requests with it, over all daemons.
+	maxEndChecks = 64
 )
 
 // CrashDetector tells crashes of engines from other lost connections, and reports them to
 // the board as evidence against the prompt segments of the requests that met them. It may
 // be used by several goroutines.
 type CrashDetector struct {
-	board   *blackboard.EntryBoard
-	engines EngineClient
-	metrics *Metrics
-	log     *log.Logger
-	// checked holds hashes of the starts of engines that ObserveEnd checks, or that ended. One
-	// that another one displaces is only checked again.
-	checked [64]atomic.Uint64
+	board     *blackboard.EntryBoard
+	engines   EngineClient
+	metrics   *Metrics
+	log       *log.Logger
+	endChecks atomic.Int32 // checks of ObserveEnd that run
 }
 
 // NewCrashDetector returns a detector that reports crashes to the board.
@@ -60,7 +61,7 @@
 		return false
 	}
 	if len(d.unsoundSegments(m)) == 0 {
-		d.ObserveEnd(engine, cause)
+		d.ObserveEnd(m, engine, cause)
 		return false
 	}
 	if !timer.Sleep(ctx, crashCheckDelay) || !d.engines.Refuses(ctx, engine) {
@@ -68,14 +69,14 @@
 	}
 	segments := d.unsoundSegments(m) // another request may have had a response meanwhile
 	if len(segments) == 0 {
-		d.ObserveEnd(engine, cause)
+		d.ObserveEnd(m, engine, cause)
 		return false
 	}
 	d.metrics.crashes.Inc()
 	d.log.Warn().Str("engine", engine.ID).Str("request", m.ID).Int("unsound_segments", len(segments)).AnErr("cause", cause).
 		Msg("engine crashed before it wrote a response")
 	d.board.Crashes.Report(blackboard.EngineCrash{
-		Engine: engine.ID, StartedAtMs: engine.StartedAtMs, Request: xxhash.Sum64String(m.ID), Segments: segments, SeenAt: clock.Now(),
+		Engine: engine.ID, StartedAtMs: engine.StartedAtMs, Request: xxhash.Sum64String(m.ID), Segments: segments, Held: m.Segments, SeenAt: clock.Now(),
 	})
 	return true
 }
@@ -83,24 +84,24 @@
 // ObserveEnd finds out, without waiting, whether the engine ended when it lost the connection of a
 // request that is no evidence against any segment. Such an end speaks against evidence from the
 // same moment. The cause is as in Check.
-func (d *CrashDetector) ObserveEnd(engine *blackboard.Engine, cause error) {
+func (d *CrashDetector) ObserveEnd(m *Message, engine *blackboard.Engine, cause error) {
 	if !isConnectionLoss(cause) {
 		return
 	}
-	start := blackboard.HashPair(xxhash.Sum64String(engine.ID), uint64(engine.StartedAtMs))
-	place := &d.checked[start%uint64(len(d.checked))]
-	if place.Swap(start) == start {
+	if d.endChecks.Add(1) > maxEndChecks {
+		d.endChecks.Add(-1)
 		return
 	}
-	lostAt := clock.Now()
+	lostAt, segments := clock.Now(), m.Segments
 	go func() {
+		defer d.endChecks.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 		defer cancel()
 		if timer.Sleep(ctx, crashCheckDelay) && d.engines.Refuses(ctx, engine) {
-			d.board.Crashes.Report(blackboard.EngineCrash{Engine: engine.ID, StartedAtMs: engine.StartedAtMs, SeenAt: lostAt.Add(crashCheckDelay)})
-			return
+			d.board.Crashes.Report(blackboard.EngineCrash{
+				Engine: engine.ID, StartedAtMs: engine.StartedAtMs, Held: segments, SeenAt: lostAt.Add(crashCheckDelay),
+			})
 		}
-		place.CompareAndSwap(start, 0) // the engine lives and may end later
 	}()
 }
 
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -60,7 +60,7 @@
 // caller must not have cancelled the attempt.
 func (r *activeRequest) checkCrash(ctx context.Context, a *attempt, err error) error {
 	if a.written && a.cause != nil {
-		r.server.crashes.ObserveEnd(a.engine, a.cause)
+		r.server.crashes.ObserveEnd(&r.Message, a.engine, a.cause)
 	}
 	if a.written || a.cause == nil || result.FromError(err).Verdict == result.NotRun || !r.server.crashes.Check(ctx, &r.Message, a.engine, a.cause) {
 		return err
