--- a/controller/jobs/quarantine_test.go
+++ b/controller/jobs/quarantine_test.go
@@ -82,14 +82,17 @@
 	}
 }
 
-// TestOneItemRunsAsTrial guards against several items that run as the trial of one segment, and
-// against one that runs without a lease, which the rest of the fleet would not know of.
+// TestOneItemRunsAsTrial guards against several items that run as the trial of one segment,
+// against one that runs without a lease, which the rest of the fleet would not know of, and
+// against a trial that a late job leaves unused while items wait on other daemons.
 func TestOneItemRunsAsTrial(t *testing.T) {
-	for name, want := range map[string]int{"lease": 1, "lease of another segment": 0, "lease that ended": 0, "trial of online requests": 0} {
+	for name, want := range map[string]int{"lease": 1, "lease for a late job": 1, "lease of another segment": 0, "lease that ended": 0, "trial of online requests": 0} {
 		c, o := newSegmentController(0, 1, 1, 1)
 		quarantine(c, clock.Now(), name == "trial of online requests")
 		lease := blackboard.NewTrialLease([]blackboard.Segment{1}, clock.Now().Add(time.Minute))
 		switch name {
+		case "lease for a late job":
+			c.board.PeersWithBatchDemand.Store(1)
 		case "lease of another segment":
 			lease.Segments = []blackboard.Segment{2}
 		case "lease that ended":
