--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -4,8 +4,12 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/phuslu/log"
 
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/policy/admission"
 )
 
@@ -14,8 +18,14 @@
 type Controller struct {
 	board    *blackboard.EntryBoard
 	services map[string]*service // with waiting requests
+	log      *log.Logger
+	loggedAt clock.Instant // when refusals were last logged
+	unlogged int           // refusals since then
 }
 
+// logInterval is the shortest time between two log lines about refusals.
+const logInterval = time.Second
+
 // service holds the waiting requests of a service.
 type service struct {
 	queue admission.Queue[*blackboard.WaitingRequest]
@@ -24,8 +34,8 @@
 }
 
 // New returns a controller.
-func New(board *blackboard.EntryBoard) *Controller {
-	return &Controller{board: board, services: make(map[string]*service)}
+func New(board *blackboard.EntryBoard, logger *log.Logger) *Controller {
+	return &Controller{board: board, services: make(map[string]*service), log: logger}
 }
 
 // Run gives turns until ctx is done.
@@ -79,7 +89,24 @@
 	c.dropEnded(s)
 	for _, refused := range s.queue.Join(w.Arrival, c.board.PlaceCapacity(w.Service), w) {
 		refused.Value.Refuse(refused.Reason, refused.Forecast)
+		c.logRefusal(w.Service, s.queue.Len(), &refused)
+	}
+}
+
+// logRefusal logs a refusal with the state of the queue, unless one was logged lately. The
+// request's own line is relay's.
+func (c *Controller) logRefusal(service string, waiting int, r *admission.Refused[*blackboard.WaitingRequest]) {
+	c.unlogged++
+	now := clock.Now()
+	if c.loggedAt != 0 && now.Sub(c.loggedAt) < logInterval {
+		return
 	}
+	f := &r.Forecast
+	c.log.Warn().Str("service", service).Str("reason", string(r.Reason)).Int("refused", c.unlogged).Int("waiting", waiting).
+		Int("ahead", f.Ahead).Dur("predicted", f.Wait).Int("places", f.Capacity.Places).Dur("usual_run", f.Capacity.UsualRun).
+		Float64("share", f.Capacity.Share).Int("own_running", f.Capacity.OwnRunning).Dur("counts_age", f.Capacity.Age).
+		Msg("requests are refused because no engine has a place in time")
+	c.loggedAt, c.unlogged = now, 0
 }
 
 // giveTurns gives the turn of each service to the next request if the last one got a place, or
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -146,7 +146,7 @@
 		directories.RunOperators, directories.RunEngines, directories.RunOutages, e.roster.RunObserver, e.roster.RunRemover,
 		loadExchange.RunReceiver, loadExchange.RunSender,
 		quarantine.New(e.board, quarantine.NewMetrics(reg, e.board), e.log).Run,
-		rates.New(e.board, rows, e.log).Run, admission.New(e.board).Run, e.jobs.RunFollower, e.jobs.Run,
+		rates.New(e.board, rows, e.log).Run, admission.New(e.board, e.log).Run, e.jobs.RunFollower, e.jobs.Run,
 	} {
 		e.controllers.run(run)
 	}
--- a/daemon/entrymetrics.go
+++ b/daemon/entrymetrics.go
@@ -29,6 +29,9 @@
 	gauge("items_waiting", "Batch items that wait on this daemon and can still finish before their deadline.", func() float64 {
 		return float64(board.BatchDemand.Value().WaitingItems)
 	})
+	gauge("requests_waiting", "Online requests that wait on this daemon for a place at an engine.", func() float64 {
+		return float64(board.Places.Waiting.Load())
+	})
 	gauge("engines", "Registered engines that accept new requests.", func() float64 {
 		return float64(countEngines(board, func(*blackboard.Engine) bool { return true }))
 	})
