Admission: a request that avoids the free engine lets others look

A request that an engine had rejected kept the turn although it could not use the free place, for up to half of the target latency. It now goes behind the others of its workspace, and each request looks once for each time that a place may have become free.

--- a/blackboard/places.go
+++ b/blackboard/places.go
@@ -72,6 +72,12 @@
 	admission.Arrival
 	// Service is the name of the service.
 	Service string
+	// Selective reports whether the request avoids engines that it tried. Others may then
+	// find a place where it finds none.
+	Selective bool
+	// LookedAt is PlaceQueue.Freed when its last turn began, or -1. controller/admission
+	// writes it.
+	LookedAt int64
 	// Turn receives what the request is told, at most once for each turn. Its capacity is
 	// one.
 	Turn chan Turn
@@ -81,7 +87,7 @@
 
 // NewWaitingRequest returns a request that has not joined a queue.
 func NewWaitingRequest(service string, a admission.Arrival) *WaitingRequest {
-	return &WaitingRequest{Arrival: a, Service: service, Turn: make(chan Turn, 1)}
+	return &WaitingRequest{Arrival: a, Service: service, LookedAt: -1, Turn: make(chan Turn, 1)}
 }
 
 // GiveTurn lets the request look for a place. It reports false if the request has ended or
--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -30,7 +30,7 @@
 type service struct {
 	queue admission.Queue[*blackboard.WaitingRequest]
 	turn  *blackboard.WaitingRequest // has the turn, or had it last and found no place; nil if none
-	freed int64                      // Places.Freed when that turn began
+	full  int64                      // Places.Freed when a turn began that found all engines full, or -1
 }
 
 // New returns a controller.
@@ -83,7 +83,7 @@
 func (c *Controller) join(w *blackboard.WaitingRequest) {
 	s := c.services[w.Service]
 	if s == nil {
-		s = new(service)
+		s = &service{full: -1}
 		c.services[w.Service] = s
 	}
 	c.dropEnded(s)
@@ -109,8 +109,7 @@
 	c.loggedAt, c.unlogged = now, 0
 }
 
-// giveTurns gives the turn of each service to the next request if the last one got a place, or
-// if places became free since it found none.
+// giveTurns gives the turn of each service that has requests, see giveTurn.
 func (c *Controller) giveTurns() {
 	waiting := 0
 	for name, s := range c.services {
@@ -142,14 +141,27 @@
 	}
 }
 
-// giveTurn gives the turn of one service.
+// giveTurn gives the turn of one service, unless all engines were found full since a place
+// became free. A selective request that found none lets others look.
 func (c *Controller) giveTurn(s *service) {
+	if s.turn != nil {
+		switch {
+		case s.turn.Looks():
+			return
+		case s.turn.Selective:
+			s.queue.Requeue(s.turn.Arrival, s.turn)
+		default:
+			s.full = s.turn.LookedAt
+		}
+		s.turn = nil
+	}
 	freed := c.board.Places.Freed()
-	if s.turn != nil && (s.turn.Looks() || s.freed == freed) {
+	next, ok := s.queue.Next()
+	if !ok || s.full == freed || next.LookedAt == freed {
 		return
 	}
-	next, ok := s.queue.Next()
-	if ok && next.GiveTurn() {
-		s.turn, s.freed = next, freed
+	next.LookedAt = freed
+	if next.GiveTurn() {
+		s.turn = next
 	}
 }
--- a/controller/admission/admission_test.go
+++ b/controller/admission/admission_test.go
@@ -43,7 +43,7 @@
 }
 
 // TestFreePlaceGoesToTheMostUrgent guards against a turn that is lost, given without a free
-// place, or given to the one that waits longest, and against requests that are held although
+// place, given to the one that waits longest, or kept by one that avoids the free engine, and against requests that are held although
 // no place can become free in their time.
 func TestFreePlaceGoesToTheMostUrgent(t *testing.T) {
 	board := newBoard(t)
@@ -61,6 +61,14 @@
 	board.Places.ReturnTurn(urgent, true)
 	gets(t, first) // there may be more places
 	board.Places.Leave(first)
+	selective := join(board, 0, time.Minute)
+	gets(t, selective)
+	behind := join(board, 0, time.Minute)
+	selective.Selective = true
+	board.Places.ReturnTurn(selective, false)
+	gets(t, behind) // a place may be where the one before avoids the engine
+	board.Places.ReturnTurn(behind, true)
+	board.Places.Leave(selective)
 	gets(t, join(board, 2, time.Minute))
 	if turn := gets(t, join(board, 0, time.Millisecond)); turn.Refused != admission.TooLate {
 		t.Errorf("told %+v, want a refusal as too late", turn)
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// Requeue moves a request behind the others of its workspace.
+func (q *Queue[T]) Requeue(a Arrival, value T) {
+	if p, ok := q.places[value]; ok {
+		q.order.remove(p)
+		q.places[value] = q.order.push(a.Priority, a.Workspace, a.Weight, value)
+	}
+}
+
 // All returns the waiting requests in no particular order.
 func (q *Queue[T]) All() []T {
 	all := make([]T, 0, len(q.places))
--- a/relay/place.go
+++ b/relay/place.go
@@ -38,6 +38,7 @@
 func (r *activeRequest) waitForPlace(ctx context.Context) (*blackboard.Engine, error) {
 	places := r.server.board.Places
 	w := blackboard.NewWaitingRequest(r.service, r.arrival())
+	w.Selective = len(r.tried) > 0
 	if w.Until <= w.Now {
 		return nil, r.placeRefusal(result.NoUpstream, string(admission.TooLate), r.forecast())
 	}
