--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -4,8 +4,12 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/phuslu/log"
 
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/policy/admission"
 )
 
@@ -14,18 +18,24 @@
 type Controller struct {
 	board    *blackboard.EntryBoard
 	services map[string]*service // with waiting requests
+	log      *log.Logger
+	loggedAt clock.Instant // when refusals were last logged
+	unlogged int           // refusals since then
 }
 
+// logInterval is the shortest time between two log lines about refusals.
+const logInterval = time.Second
+
 // service holds the waiting requests of a service.
 type service struct {
 	queue admission.Queue[*blackboard.WaitingRequest]
 	turn  *blackboard.WaitingRequest // has the turn, or had it last and found no place; nil if none
-	freed int64                      // Places.Freed when that turn began
+	full  int64                      // Places.Freed when a turn began that found all engines full, or -1
 }
 
 // New returns a controller.
-func New(board *blackboard.EntryBoard) *Controller {
-	return &Controller{board: board, services: make(map[string]*service)}
+func New(board *blackboard.EntryBoard, logger *log.Logger) *Controller {
+	return &Controller{board: board, services: make(map[string]*service), log: logger}
 }
 
 // Run gives turns until ctx is done.
@@ -73,17 +83,33 @@
 func (c *Controller) join(w *blackboard.WaitingRequest) {
 	s := c.services[w.Service]
 	if s == nil {
-		s = new(service)
+		s = &service{full: -1}
 		c.services[w.Service] = s
 	}
 	c.dropEnded(s)
 	for _, refused := range s.queue.Join(w.Arrival, c.board.PlaceCapacity(w.Service), w) {
 		refused.Value.Refuse(refused.Reason, refused.Forecast)
+		c.logRefusal(w.Service, s.queue.Len(), &refused)
 	}
 }
 
-// giveTurns gives the turn of each service to the next request if the last one got a place, or
-// if places became free since it found none.
+// logRefusal logs a refusal with the state of the queue, unless one was logged lately. The
+// request's own line is relay's.
+func (c *Controller) logRefusal(service string, waiting int, r *admission.Refused[*blackboard.WaitingRequest]) {
+	c.unlogged++
+	now := clock.Now()
+	if c.loggedAt != 0 && now.Sub(c.loggedAt) < logInterval {
+		return
+	}
+	f := &r.Forecast
+	c.log.Warn().Str("service", service).Str("reason", string(r.Reason)).Int("refused", c.unlogged).Int("waiting", waiting).
+		Int("ahead", f.Ahead).Dur("predicted", f.Wait).Int("places", f.Capacity.Places).Dur("usual_run", f.Capacity.UsualRun).
+		Float64("share", f.Capacity.Share).Int("own_running", f.Capacity.OwnRunning).Dur("counts_age", f.Capacity.Age).
+		Msg("requests are refused because no engine has a place in time")
+	c.loggedAt, c.unlogged = now, 0
+}
+
+// giveTurns gives the turn of each service that has requests, see giveTurn.
 func (c *Controller) giveTurns() {
 	waiting := 0
 	for name, s := range c.services {
@@ -115,14 +141,27 @@
 	}
 }
 
-// giveTurn gives the turn of one service.
+// giveTurn gives the turn of one service, unless all engines were found full since a place
+// became free. A selective request that found none lets others look.
 func (c *Controller) giveTurn(s *service) {
+	if s.turn != nil {
+		switch {
+		case s.turn.Looks():
+			return
+		case s.turn.Selective:
+			s.queue.Requeue(s.turn.Arrival, s.turn)
+		default:
+			s.full = s.turn.LookedAt
+		}
+		s.turn = nil
+	}
 	freed := c.board.Places.Freed()
-	if s.turn != nil && (s.turn.Looks() || s.freed == freed) {
+	next, ok := s.queue.Next()
+	if !ok || s.full == freed || next.LookedAt == freed {
 		return
 	}
-	next, ok := s.queue.Next()
-	if ok && next.GiveTurn() {
-		s.turn, s.freed = next, freed
+	next.LookedAt = freed
+	if next.GiveTurn() {
+		s.turn = next
 	}
 }
--- a/daemon/entrymetrics.go
+++ b/daemon/entrymetrics.go
@@ -35,6 +35,9 @@
 			ConstLabels: prometheus.Labels{"reason": reason.String()},
 		}, func() float64 { return float64(board.BatchDemand.Value().Held[reason]) }))
 	}
+	gauge("requests_waiting", "Online requests that wait on this daemon for a place at an engine.", func() float64 {
+		return float64(board.Places.Waiting.Load())
+	})
 	gauge("engines", "Registered engines that accept new requests.", func() float64 {
 		return float64(countEngines(board, func(*blackboard.Engine) bool { return true }))
 	})
