Roll-outs: canary engines have the load of old engines

Cause: daemons sent their slack to one new engine within the first half second, which then had several times the load of an old one, or too little later. Change: a canary engine gets a request only if it has no more than an old one has on average; the owner sets their number by the requests since the order.

--- a/controller/jobs/rollouts.go
+++ b/controller/jobs/rollouts.go
@@ -12,8 +12,9 @@
 func (c *Controller) chooseEngine(s *itemState, service string, query *placement.BatchQuery) *blackboard.Engine {
 	view := rollout.NewView(c.board, service, query.Now)
 	isFirst := s.lastEvent() < 0 && s.earlierRuns == 0
-	engine := view.Choose(&query.Query, isFirst, func() *blackboard.Engine {
-		return placement.ChooseForBatch(c.board.Engines.Value().OfService(service), query)
+	engines := c.board.Engines.Value().OfService(service)
+	engine := view.Choose(&query.Query, engines, isFirst, func() *blackboard.Engine {
+		return placement.ChooseForBatch(engines, query)
 	})
 	if engine != nil && isFirst {
 		view.Admit()
--- a/controller/rollouts/fleet_test.go
+++ b/controller/rollouts/fleet_test.go
@@ -250,9 +250,8 @@
 	query := placement.NewQuery(d.board, &catalog.Service{Name: "svc"}, rand.Float64)
 	view.Admit()
 	f.all++
-	e := view.Choose(&query, true, func() *blackboard.Engine {
-		return placement.Choose(d.board.Engines.Value().OfService("svc"), &query)
-	})
+	engines := d.board.Engines.Value().OfService("svc")
+	e := view.Choose(&query, engines, true, func() *blackboard.Engine { return placement.Choose(engines, &query) })
 	if e == nil {
 		if f.orderAt != 0 {
 			f.refused++
--- a/controller/rollouts/owner.go
+++ b/controller/rollouts/owner.go
@@ -143,7 +143,9 @@
 	totals := c.totals(service, s)
 	next := r.record
 	next.Old, next.New = totalsOf(totals)
-	decision, reason := rollout.Next(c.situation(service, s, order, r, totals, now))
+	situation := c.situation(service, s, order, r, totals, now)
+	decision, reason := rollout.Next(situation)
+	next.Canaries = c.canaries(service, &next, situation)
 	if order != nil && r.isOf(order) {
 		next.Seen = max(next.Seen, order.Version)
 	}
@@ -165,6 +167,19 @@
 	}
 }
 
+// canaries returns the number of new engines that get requests in the canary stage, by the
+// requests since the order.
+func (c *Controller) canaries(service string, r *record, situation *rollout.Situation) int {
+	old := 0
+	for _, e := range c.board.Engines.Value().OfService(service) {
+		if e.Version == r.InUse && e.IsUsable() {
+			old++
+		}
+	}
+	since := situation.Duration - situation.Left
+	return rollout.CanaryCount(old, c.bounds.Share, c.bounds.Slack, r.Old[0], since, situation.CanaryTime())
+}
+
 // end writes the final state for the operators in one transaction with the row, so that there
 // is exactly one.
 func (c *Controller) end(ctx context.Context, service string, s *serviceState, version int64, next record, reason string) {
--- a/controller/rollouts/record.go
+++ b/controller/rollouts/record.go
@@ -43,8 +43,10 @@
 	// lease.
 	InStageMs int64 `json:"in_stage_ms"`
 	// Daemons is the number of daemons among which the slack of the canary stage is divided.
-	Daemons int    `json:"daemons"`
-	Verdict string `json:"verdict,omitempty"`
+	Daemons int `json:"daemons"`
+	// Canaries is the number of new engines that get requests in the canary stage.
+	Canaries int    `json:"canaries"`
+	Verdict  string `json:"verdict,omitempty"`
 	// Old and New are the figures of both versions when the row was written.
 	Old blackboard.AnswerFigures `json:"old"`
 	New blackboard.AnswerFigures `json:"new"`
--- a/controller/rollouts/service.go
+++ b/controller/rollouts/service.go
@@ -227,7 +227,7 @@
 	v.Stopped = c.stops(s, v.Stage)
 	if v.Stage == blackboard.RolloutCanary {
 		since := c.board.StoreNow() - time.Duration(r.StartedMs)*time.Millisecond
-		v.Canary = rollout.CanaryEngines(c.board.Engines.Value().OfService(service), v, rollout.CanaryWindow(since))
+		v.Canary = rollout.CanaryEngines(c.board.Engines.Value().OfService(service), v, r.Canaries, rollout.CanaryWindow(since))
 	}
 	return v
 }
--- a/policy/rollout/rollout_test.go
+++ b/policy/rollout/rollout_test.go
@@ -36,9 +36,12 @@
 	if isFirst {
 		view.Admit()
 	}
-	engines := []*blackboard.Engine{{Engine: &catalog.Engine{ID: "old", Version: "v1"}}, {Engine: &catalog.Engine{ID: "new", Version: "v2"}}}
+	engines := []*blackboard.Engine{
+		{Engine: &catalog.Engine{ID: "old", Version: "v1"}, Load: new(blackboard.EngineLoad)},
+		{Engine: &catalog.Engine{ID: "new", Version: "v2"}, Load: new(blackboard.EngineLoad)},
+	}
 	var q placement.Query
-	e := view.Choose(&q, isFirst, func() *blackboard.Engine {
+	e := view.Choose(&q, nil, isFirst, func() *blackboard.Engine {
 		for _, e := range engines {
 			if !lost && q.Allowed(e) {
 				return e
@@ -90,6 +93,27 @@
 	})
 }
 
+// TestCanaryEnginesHaveTheLoadOfOldOnes guards against a comparison of engines that are full,
+// since all daemons send their first requests to them at once, with others.
+func TestCanaryEnginesHaveTheLoadOfOldOnes(t *testing.T) {
+	engine := func(id, version string, requests int64) *blackboard.Engine {
+		e := &blackboard.Engine{Engine: &catalog.Engine{ID: id, Version: version, Slots: 8}, Load: new(blackboard.EngineLoad)}
+		e.Load.Online.Store(requests)
+		return e
+	}
+	for _, c := range []struct {
+		old  [2]int64
+		new  int64
+		want bool
+	}{{[2]int64{2, 4}, 2, true}, {[2]int64{2, 4}, 3, false}, {[2]int64{0, 0}, 0, true}, {[2]int64{0, 0}, 1, false}, {[2]int64{8, 7}, 7, true}} {
+		canary := engine("new", "v2", c.new)
+		view := &View{versions: newExposedDaemon(0).versions}
+		if got := view.canaryFilter([]*blackboard.Engine{engine("a", "v1", c.old[0]), engine("b", "v1", c.old[1]), canary})(canary); got != c.want {
+			t.Errorf("old engines with %v requests: a canary engine with %d is used: %v", c.old, c.new, got)
+		}
+	}
+}
+
 // goodEvidence returns that of a version that is no worse.
 func goodEvidence(answers int64) Evidence {
 	return Evidence{
--- a/policy/rollout/stage.go
+++ b/policy/rollout/stage.go
@@ -87,6 +87,9 @@
 	return max(min(wanted, time.Duration(maxSwitchFraction*float64(s.Duration))), s.latestSwitch())
 }
 
+// CanaryTime returns how long the canary stage takes.
+func (s *Situation) CanaryTime() time.Duration { return max(s.Duration-s.switchTime(), MinCanary) }
+
 // latestSwitch returns the time before the deadline after which it is too late to switch.
 func (s *Situation) latestSwitch() time.Duration { return Validity + validityMargin + writeMargin/2 }
 
--- a/policy/rollout/versions.go
+++ b/policy/rollout/versions.go
@@ -47,18 +47,23 @@
 // CanaryWindow returns the number of the window at a time since the begin of the stage.
 func CanaryWindow(since time.Duration) int { return int(max(since, 0) / canaryWindow) }
 
-// CanaryEngines returns the ids of the new engines that get the canary share in the window:
-// so few that each has about as much load as an old one, since a version may be bad only
-// under load. All daemons find the same ones.
-func CanaryEngines(engines []*blackboard.Engine, v *blackboard.ServiceVersions, window int) map[string]bool {
-	old := 0
+// CanaryCount returns the number of new engines that get the canary share: so few that each
+// has about as much load as one of the old engines. These got the given number of requests in
+// the time since the order; with 0, the slack is not counted.
+func CanaryCount(oldEngines int, share, slack float64, requests int64, since, canaryTime time.Duration) int {
+	fraction := DaemonShare(share)
+	if expected := float64(requests) * float64(canaryTime) / float64(max(since, 1)); requests > 0 {
+		fraction += slackFraction * slack / expected
+	}
+	return max(1, int(math.Round(min(fraction, 1)*float64(oldEngines))))
+}
+
+// CanaryEngines returns the ids of the new engines, at most n, that get the canary share in
+// the window. All daemons find the same ones.
+func CanaryEngines(engines []*blackboard.Engine, v *blackboard.ServiceVersions, n, window int) map[string]bool {
 	var candidates []*blackboard.Engine
 	for _, e := range engines {
-		switch {
-		case !e.IsUsable() || e.MissingUntil != 0:
-		case e.Version == v.InUse:
-			old++
-		case e.Version == v.To:
+		if e.Version == v.To && e.IsUsable() && e.MissingUntil == 0 {
 			candidates = append(candidates, e)
 		}
 	}
@@ -66,7 +71,7 @@
 		return blackboard.HashPair(xxhash.Sum64String(e.ID), uint64(v.Order))
 	}
 	slices.SortFunc(candidates, func(a, b *blackboard.Engine) int { return cmp.Compare(hash(a), hash(b)) })
-	n := min(len(candidates), max(1, int(math.Round(v.Share*float64(old)))))
+	n = min(len(candidates), max(1, n))
 	canary := make(map[string]bool, n)
 	for i := range n {
 		canary[candidates[(window*n+i)%len(candidates)].ID] = true
--- a/policy/rollout/view.go
+++ b/policy/rollout/view.go
@@ -4,6 +4,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -55,8 +56,25 @@
 	return e.Version == v.versions.InUse && v.now < v.validUntil
 }
 
-// isCanary reports whether the engine gets requests of the canary share.
-func (v *View) isCanary(e *blackboard.Engine) bool { return v.versions.Canary[e.ID] }
+// canaryFilter returns whether an engine gets a request of the canary share: it is chosen for
+// that and has no more requests than an old engine has on average. A version is compared at
+// equal load, and may be bad only under load.
+func (v *View) canaryFilter(engines []*blackboard.Engine) func(*blackboard.Engine) bool {
+	requests, slots := 0, 0
+	for _, e := range engines {
+		if e.Version == v.versions.InUse && e.IsUsable() {
+			requests += e.RequestCount()
+			slots += e.Slots
+		}
+	}
+	return func(e *blackboard.Engine) bool {
+		if !v.versions.Canary[e.ID] {
+			return false
+		}
+		usual := float64(requests) * float64(e.Slots) / float64(max(slots, 1))
+		return float64(e.RequestCount()) < max(1, math.Ceil(usual))
+	}
+}
 
 // Admit counts a request that reached the service. It counts neither retries nor later runs
 // of a batch item.
@@ -66,16 +84,16 @@
 	}
 }
 
-// Choose calls choose, which chooses an engine by q, with the engines that the request may
+// Choose calls choose, which chooses one of the service's engines by q, with the engines that the request may
 // use. A request that no engine got yet may go to a canary engine if this daemon's share
 // allows that; all others stay with the version in use, so that what fails at a new engine
 // goes on at an old one.
-func (v *View) Choose(q *placement.Query, isFirst bool, choose func() *blackboard.Engine) *blackboard.Engine {
+func (v *View) Choose(q *placement.Query, engines []*blackboard.Engine, isFirst bool, choose func() *blackboard.Engine) *blackboard.Engine {
 	if v == nil {
 		return choose()
 	}
 	if isFirst && v.takeCanary() {
-		q.Allowed = v.isCanary
+		q.Allowed = v.canaryFilter(engines)
 		if e := choose(); e != nil {
 			return e
 		}
--- a/relay/tried.go
+++ b/relay/tried.go
@@ -65,7 +65,7 @@
 	if isFirst {
 		view.Admit()
 	}
-	return view.Choose(&query, isFirst, func() *blackboard.Engine { return placement.Choose(engines, &query) })
+	return view.Choose(&query, engines, isFirst, func() *blackboard.Engine { return placement.Choose(engines, &query) })
 }
 
 // avoids reports whether the engine rejected or failed the request lately.
