Place requests by the memory of engines

An engine that holds more tokens than its KV cache preempts its newest request or crashes; the capacity in the configuration was not read. Daemons now count the tokens of their requests and items at each engine, tell each other in load reports and sums where the service has engine.kvCapacityTokens, and choose only engines with memory for a request, less a margin by the age of what is known of other daemons. Items leave room for one usual online request and give way by memory too.

--- a/blackboard/engines.go
+++ b/blackboard/engines.go
@@ -77,6 +77,10 @@
 	return int(e.Load.Online.Load() + e.Load.PeerOnline.Load())
 }
 
+// PlacedTokens returns the tokens of the requests that this and the other daemons have at the
+// engine.
+func (e *Engine) PlacedTokens() int64 { return e.Load.Tokens.Load() + e.Load.PeerTokens.Load() }
+
 // EngineLoad is what was observed of one start of an engine. Its fields are atomics because
 // they are written on the request path.
 type EngineLoad struct {
@@ -86,6 +90,11 @@
 	// PeerOnline and PeerBatch are the numbers of requests that the other daemons
 	// have at the engine, by their last load reports.
 	PeerOnline, PeerBatch atomic.Int64
+	// Tokens is the number of tokens of the requests that this daemon has at the engine, and
+	// PeerTokens that of the other daemons' by their last load reports. A request counts with
+	// its whole prompt and the largest output that it may have. PeerTokens is 0 unless the
+	// configuration says how many tokens an engine holds.
+	Tokens, PeerTokens atomic.Int64
 	// OwnReport is the load that the engine reported to this daemon. PeerReport is the
 	// load that it reported to another daemon, which passed it on.
 	OwnReport, PeerReport EngineReport
--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -75,6 +75,9 @@
 	// NearPeersWithBatchDemand is the number of these in this daemon's data centre.
 	// controller/loads writes it.
 	NearPeersWithBatchDemand atomic.Int64
+	// PeerReportAge is the mean age, as a time.Duration, of what this daemon knows of the
+	// others' requests. controller/loads writes it.
+	PeerReportAge atomic.Int64
 	// PeerReadAt is the clock.Instant of the latest read of the configuration that
 	// another daemon reported, or 0. controller/loads writes it.
 	PeerReadAt atomic.Int64
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -121,6 +121,9 @@
 	// ColdRate is the number of requests per second that an engine can handle in
 	// cold start, from all daemons together; 0 means no limit.
 	ColdRate float64
+	// MemoryTokens is the number of tokens that an engine can hold at once, of the prompts
+	// and outputs of its requests, or 0 if the configuration does not say.
+	MemoryTokens int64
 }
 
 // Workspace is a tenant with its keys and its rate limit.
--- a/controller/jobs/engineload_test.go
+++ b/controller/jobs/engineload_test.go
@@ -25,3 +25,23 @@
 		}
 	}
 }
+
+// TestTokensOfItemsAreCounted guards against items that engines have no memory for, because
+// the tokens of an item are not counted while it runs, or are still counted afterwards.
+func TestTokensOfItemsAreCounted(t *testing.T) {
+	c, o := newTestController(0)
+	c.engines.Client = oneResponse{body(event(1) + event(2))}
+	c.engines.Tokens = func(map[string]string) int64 { return 240 }
+	c.itemsLoaded(o, o.items, nil)
+	s := o.waiting[len(o.waiting)-1]
+	engine := &blackboard.Engine{Engine: &catalog.Engine{ID: "e", Slots: 8}, Load: new(blackboard.EngineLoad)}
+	if message := s.newRun("h", engine).message; message.Tokens != 240 {
+		t.Errorf("an item of %d tokens, want 240", message.Tokens)
+	}
+	engine.Load.Tokens.Store(1000)
+	c.run(t.Context(), s, c.board.Catalog.Value().RouteByName("r"), engine)
+	(<-c.events)()
+	if n := engine.Load.Tokens.Load(); n != 1000 {
+		t.Errorf("%d tokens after the run, want those of other requests, 1000", n)
+	}
+}
--- a/controller/jobs/itemstate.go
+++ b/controller/jobs/itemstate.go
@@ -27,6 +27,7 @@
 	giveUp         confirm.Decision         // to give the item up after failedAttempts
 	failedAt       map[string]clock.Instant // by engine: when the item was last rejected or interrupted
 
+	tokens    int64 // that it takes in an engine's memory, or 0 if not known
 	gate      blackboard.SegmentGate
 	crashedAt clock.Instant // when an engine last crashed with the item, or 0
 
--- a/controller/jobs/ownership.go
+++ b/controller/jobs/ownership.go
@@ -155,6 +155,9 @@
 		}
 		state := newItemState(o, i)
 		state.gate.Segments = c.engines.Segments(items[i].Header)
+		if c.engines.Tokens != nil {
+			state.tokens = c.engines.Tokens(items[i].Header)
+		}
 		if checkpoint, ok := checkpoints[i]; ok {
 			state.restore(checkpoint)
 		}
--- a/controller/jobs/quarantine.go
+++ b/controller/jobs/quarantine.go
@@ -24,6 +24,9 @@
 	Crashes *relay.CrashDetector
 	// Segments returns the shared segments of the prompt of an item with the headers.
 	Segments func(header map[string]string) []blackboard.Segment
+	// Tokens returns the tokens that an item with the headers takes in an engine's memory, or
+	// 0 if they do not say. It may be nil.
+	Tokens func(header map[string]string) int64
 }
 
 // mayStart reports whether the item may run now: its segments are not quarantined, or it is
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -67,6 +67,7 @@
 	timeout := itemIdleTimeout << min(s.emptyRuns, maxIdleDoublings)
 	return &itemRun{itemState: s, engine: engine, firstEventTimeout: timeout, message: relay.Message{
 		ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body, Segments: s.gate.Segments,
+		Tokens: s.tokens,
 	}}
 }
 
@@ -81,12 +82,15 @@
 	s.job.running[s.index] = s
 	c.running++
 	engine.Load.Batch.Add(1)
+	engine.Load.Tokens.Add(s.tokens)
 	cancel := s.cancel
 	r := s.newRun(route.Host, engine)
+	tokens := s.tokens
 	go func() {
 		outcome, err := c.send(ctx, r)
 		outcome = c.checkCrash(ctx, r, outcome, err)
 		engine.Load.Batch.Add(-1)
+		engine.Load.Tokens.Add(-tokens)
 		cancel()
 		c.post(context.WithoutCancel(ctx), func() {
 			r.countEmptyRun(outcome)
--- a/controller/jobs/schedule.go
+++ b/controller/jobs/schedule.go
@@ -24,6 +24,9 @@
 			continue // a draining engine finishes what it runs
 		}
 		count, reason := placement.ItemsToPreempt(e, rand.Float64()), "gives way to online requests"
+		if count == 0 && placement.PreemptForMemory(e, c.memoryTokens(e), rand.Float64()) {
+			count, reason = 1, "leaves memory to online requests"
+		}
 		if e.Load.Health.IsSlow(now) {
 			count, reason = int(e.Load.Batch.Load()), "leaves a slow engine"
 		}
@@ -34,6 +37,16 @@
 	}
 }
 
+// memoryTokens returns the tokens that the engine can hold, or 0 if that is not known.
+func (c *Controller) memoryTokens(e *blackboard.Engine) int64 {
+	if cat := c.board.Catalog.Value(); cat != nil {
+		if service := cat.Service(e.Service); service != nil {
+			return service.MemoryTokens
+		}
+	}
+	return 0
+}
+
 // preemptItems cancels up to n items that run at the engine. They wait for another engine
 // and continue there after their last event.
 func (c *Controller) preemptItems(e *blackboard.Engine, n int, reason string) {
@@ -129,7 +142,7 @@
 		NearPeersWithBatchDemand: int(c.board.NearPeersWithBatchDemand.Load()),
 		Interval:                 schedulingInterval,
 	}
-	query.Tried = s.failedRecently
+	query.Tried, query.Tokens = s.failedRecently, s.tokens
 	engine := placement.ChooseForBatch(c.board.Engines.Value().OfService(service.Name), &query)
 	if engine == nil || !s.gate.Enter(c.board.Quarantine.Value(), clock.Now()) {
 		return false
--- a/controller/loads/datacentre.go
+++ b/controller/loads/datacentre.go
@@ -109,6 +109,7 @@
 		for id, counts := range r.Engines {
 			sum.Engines[id] = addCounts(sum.Engines[id], counts)
 		}
+		sum.Tokens = addTokens(sum.Tokens, r.Tokens)
 	}
 	return sum
 }
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -167,6 +167,7 @@
 		old = new(report)
 	}
 	c.applyEngineCounts(old.Engines, r.Engines)
+	c.applyTokens(old.Tokens, r.Tokens)
 	series := admissionsOf{from: r.From, isSum: r.DataCentre != nil}
 	if c.admitted[series] == nil {
 		c.admitted[series] = make(map[string]int64)
@@ -271,6 +272,7 @@
 			r.Engines[e.ID] = counts
 		}
 	}
+	r.Tokens = c.ownTokens()
 	return r
 }
 
--- a/controller/loads/sum.go
+++ b/controller/loads/sum.go
@@ -1,6 +1,8 @@
 package loads
 
 import (
+	"time"
+
 	"github.com/baobablanding/baobablanding/blackboard"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/policy/placement"
@@ -9,11 +11,13 @@
 // totals is the sum of the reports of the other daemons.
 type totals struct {
 	online, batch  map[string]int64    // numbers of requests, by engine
+	tokens         map[string]int64    // of these, by engine
 	suspectedFrom  map[string][]string // by engine: data centres of the daemons that suspect it
 	leaving        map[string]bool     // engines that leave according to a daemon
 	waitingDaemons int                 // number of daemons on which batch items wait
 	waitingNearby  int                 // number of these in the own data centre
 	daemons        int                 // number of daemons whose load is in the sums
+	ages           time.Duration       // of the reports, together; a sum counts for each of its daemons
 	lastReadAt     clock.Instant       // when a daemon sent the newest read of the configuration
 }
 
@@ -25,10 +29,12 @@
 	defer c.mu.Unlock()
 	c.dropStale(roster, now)
 	t := c.totals(roster)
+	c.board.PeerReportAge.Store(int64(t.meanAge(roster)))
 	engines := c.board.Engines.Value().All
 	for _, e := range engines {
 		e.Load.PeerOnline.Store(t.online[e.ID])
 		e.Load.PeerBatch.Store(t.batch[e.ID])
+		e.Load.PeerTokens.Store(t.tokens[e.ID])
 		e.Load.LeavingByPeers.Store(t.leaving[e.ID])
 		c.setEjected(e, placement.ShouldEject(roster.Self.DataCentre, t.suspectedFrom[e.ID]))
 	}
@@ -65,7 +71,9 @@
 		if r.DataCentre == nil && c.reports[sumKey(dataCentre)] != nil && dataCentre != roster.Self.DataCentre {
 			continue
 		}
+		before := t.daemons
 		t.add(r, dataCentre)
+		t.ages += clock.Since(r.receivedAt) * time.Duration(t.daemons-before)
 		if r.WaitingItems > 0 && dataCentre == roster.Self.DataCentre {
 			t.waitingNearby++
 		}
@@ -89,6 +97,7 @@
 	default:
 		t.daemons++
 	}
+	t.tokens = addTokens(t.tokens, r.Tokens)
 	t.lastReadAt = max(t.lastReadAt, r.lastReadAt())
 	for id, counts := range r.Engines {
 		t.online[id] += counts[0]
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -137,6 +137,7 @@
 	metrics := relay.NewMetrics(reg)
 	e.jobs = jobs.New(e.board, rows, jobs.Engines{
 		Client: engines, Crashes: relay.NewCrashDetector(e.board, engines, metrics, e.log), Segments: platform.ItemSegments,
+		Tokens: platform.ItemTokens,
 	}, self, e.log)
 	directories := directory.New(e.board, rows, platform.Decoder{}, e.log)
 	loadExchange := loads.New(e.board, socket, e.log)
--- a/peer/loadcheck.go
+++ b/peer/loadcheck.go
@@ -20,8 +20,10 @@
 	for _, counts := range r.Engines {
 		numbers = append(numbers, counts[:]...)
 	}
-	for _, n := range r.Admitted {
-		numbers = append(numbers, n)
+	for _, counts := range []map[string]int64{r.Admitted, r.Tokens} {
+		for _, n := range counts {
+			numbers = append(numbers, n)
+		}
 	}
 	for _, n := range numbers {
 		if n < 0 || n > maxReported {
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -39,6 +39,10 @@
 	// Admitted holds the number of requests that the daemon has admitted since it
 	// started, by workspace. It holds only workspaces whose number changed recently.
 	Admitted map[string]int64 `json:"admitted,omitempty"`
+	// Tokens holds the tokens of the requests that the sender has at engines, by engine id,
+	// where the configuration says how many tokens an engine holds. Engines without any are
+	// left out. Daemons of earlier builds ignore it.
+	Tokens map[string]int64 `json:"tokens,omitempty"`
 	// DataCentre is set if the report is a sum. WaitingItems is then 0, ReadAgeMs the
 	// lowest age, the third of an engine's counts the largest and the fourth and fifth
 	// the numbers of daemons; Admitted counts what the sender knows to have been admitted.
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -45,7 +45,7 @@
 			return 0, false
 		}
 		spare := q.spareSlots(e)
-		if spare <= 0 || !q.mayFill(e, spare, delays) {
+		if spare <= 0 || !q.hasMemoryForItem(e) || !q.mayFill(e, spare, delays) {
 			return 0, false
 		}
 		free := float64(spare)/float64(e.Slots) + q.Random()/(2*float64(e.Slots))
--- /dev/null
+++ b/policy/placement/memory_test.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+)
+
+// TestRequestsGoOnlyWhereMemoryHoldsThem guards against engines that preempt a stream, or
+// crash, because they hold more tokens than they have memory for.
+func TestRequestsGoOnlyWhereMemoryHoldsThem(t *testing.T) {
+	const memory = 72_000
+	for name, c := range map[string]struct {
+		own, peers, tokens int64
+		age                time.Duration
+		alone              bool
+		want, wantItem     bool
+	}{
+		"empty":                          {0, 0, memory, 0, false, true, true},
+		"never fits":                     {0, 0, memory + 1, 0, false, false, false},
+		"size unknown":                   {memory, memory, 0, 0, false, true, true},
+		"room for all":                   {20_000, 20_000, 10_000, 0, false, true, true},
+		"room for online only":           {30_000, 25_000, 10_000, 0, false, true, false},
+		"full":                           {40_000, 25_000, 10_000, 0, false, false, false},
+		"to the last token, alone":       {62_000, 0, 10_000, 0, true, true, false},
+		"to the last token, with others": {62_000, 0, 10_000, 0, false, false, false},
+		"others were not heard lately":   {30_000, 15_000, 10_000, time.Second, false, false, false},
+	} {
+		e := newEngine("a", 1, 0)
+		e.Load.Tokens.Store(c.own)
+		e.Load.PeerTokens.Store(c.peers)
+		q := query()
+		q.Tokens, q.MemoryTokens, q.PeerReportAge = c.tokens, memory, c.age
+		if !c.alone {
+			q.Roster = &blackboard.Roster{Self: q.Roster.Self, Members: make([]blackboard.Peer, 2)}
+		}
+		q.PreferredEngines = map[string]bool{"a": true}
+		if got := Choose([]*blackboard.Engine{e}, q) == e; got != c.want {
+			t.Errorf("%s: chosen for a request: %v", name, got)
+		}
+		if got := ChooseForBatch([]*blackboard.Engine{e}, &BatchQuery{Query: *q}) == e; got != c.wantItem {
+			t.Errorf("%s: chosen for an item: %v", name, got)
+		}
+		q.MemoryTokens = 0
+		if Choose([]*blackboard.Engine{e}, q) != e {
+			t.Errorf("%s: not chosen though the configuration has no capacity", name)
+		}
+	}
+}
+
+// TestItemsLeaveMemoryToOnlineRequests guards against online requests that are refused
+// because items fill the memory of engines that have free slots.
+func TestItemsLeaveMemoryToOnlineRequests(t *testing.T) {
+	e := newEngine("a", 1, 2)
+	for tokens, want := range map[int64]bool{66_000: false, 69_000: true} {
+		e.Load.Tokens.Store(tokens)
+		if got := PreemptForMemory(e, 72_000, 0.5); got != want {
+			t.Errorf("%d tokens: an item is preempted: %v", tokens, got)
+		}
+		if PreemptForMemory(e, 0, 0.5) {
+			t.Error("an item is preempted though the configuration has no capacity")
+		}
+	}
+}
+
+// TestPeakOfLargePromptsFitsIntoMemory plays a peak in which one request in eight is large,
+// so that the slots suffice and the memory of single engines does not, in a fleet of each
+// way to report. At most 2 in 1,000 requests may meet an engine that cannot hold them.
+func TestPeakOfLargePromptsFitsIntoMemory(t *testing.T) {
+	sizes := func(rng *rand.Rand) int64 {
+		if rng.IntN(8) == 0 {
+			return 18_000 + rng.Int64N(12_000)
+		}
+		return 500 + rng.Int64N(4_000)
+	}
+	for name, w := range map[string]workload{
+		"small": {dataCentres: 4, daemonsEach: 2, enginesEach: 4, rate: 110, runTime: 700 * time.Millisecond, nearDelay: 20 * time.Millisecond, farDelay: 20 * time.Millisecond},
+		"large": {dataCentres: 4, daemonsEach: 9, enginesEach: 13, rate: 350, runTime: 700 * time.Millisecond, nearDelay: 30 * time.Millisecond, farDelay: 250 * time.Millisecond},
+	} {
+		w.length, w.tokens, w.memoryTokens = 20*time.Second, sizes, 72_000
+		out := w.run(1)
+		w.ignoresMemory = true
+		before := w.run(1)
+		t.Logf("%s: %+v; without memory %+v", name, out, before)
+		if 1000*out.overfilled > 2*out.requests || 10*out.overfilled > before.overfilled {
+			t.Errorf("%s: %d of %d requests met an engine without memory for them, %d when it is ignored", name, out.overfilled, out.requests, before.overfilled)
+		}
+		if 100*out.rejected > 2*out.requests {
+			t.Errorf("%s: %d of %d requests were rejected", name, out.rejected, out.requests)
+		}
+	}
+}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -45,6 +45,11 @@
 	PreferredEngines map[string]bool
 	// MaxQueue is how many online requests beyond its slots an engine may have.
 	MaxQueue int
+	// Tokens is the number of tokens that the request takes in an engine's memory, and
+	// MemoryTokens that which an engine can hold. Either is 0 if it is not known.
+	Tokens, MemoryTokens int64
+	// PeerReportAge is the mean age of what this daemon knows of the others' requests.
+	PeerReportAge time.Duration
 }
 
 // NewQuery returns the query for a request to the service, as the board is now.
@@ -52,6 +57,7 @@
 	return Query{
 		Roster: board.Roster.Value(), Now: clock.Now(), StoreNow: board.StoreNow(), ColdRate: service.ColdRate,
 		Random: random, PreferredEngines: board.PreferredEngines.Value(),
+		MemoryTokens: service.MemoryTokens, PeerReportAge: time.Duration(board.PeerReportAge.Load()),
 	}
 }
 
@@ -150,7 +156,7 @@
 // mayTake reports whether the engine may take the request, apart from the rate limit
 // of a cold engine.
 func (q *Query) mayTake(e *blackboard.Engine) bool {
-	return e.IsUsable() && e.IsKept(q.Now) && (q.Tried == nil || !q.Tried(e)) && e.OnlineRequestCount() < e.Slots+q.MaxQueue
+	return e.IsUsable() && e.IsKept(q.Now) && (q.Tried == nil || !q.Tried(e)) && e.OnlineRequestCount() < e.Slots+q.MaxQueue && q.hasMemory(e)
 }
 
 // isLastChoice reports whether the engine is ejected, or leaves according to other daemons.
@@ -162,11 +168,12 @@
 // load.
 const ejectedScore = 1e6
 
-// score returns the load of the engine as a fraction of its slots, plus penalties.
+// score returns the load of the engine as a fraction of its slots, or of its memory if that is
+// more, plus penalties.
 // The lowest score is best. Engines that are missing from the store score worse than
 // all others but the last choices.
 func (q *Query) score(e *blackboard.Engine) float64 {
-	score := float64(e.RequestCount()) / float64(e.Slots)
+	score := max(float64(e.RequestCount())/float64(e.Slots), q.memoryLoad(e))
 	if !q.PreferredEngines[e.ID] {
 		score += q.distancePenalty(e) / float64(e.Slots)
 	}
--- a/policy/placement/workload_test.go
+++ b/policy/placement/workload_test.go
@@ -20,17 +20,25 @@
 	runTime                               time.Duration // of a request
 	nearDelay, farDelay                   time.Duration // until other daemons learn of a request
 	length                                time.Duration
+
+	// tokens returns the size of a request, and memoryTokens is what an engine holds. They
+	// are used only if ignoresMemory is false, except for outcome.overfilled.
+	tokens        func(*rand.Rand) int64
+	memoryTokens  int64
+	ignoresMemory bool
 }
 
 // outcome is what the requests of a workload met.
 type outcome struct {
 	requests, queued, rejected, remote int
+	overfilled                         int // requests by which an engine held more than its memory
 }
 
 // simulatedEngine is an engine as it is, not as the daemons know it.
 type simulatedEngine struct {
 	dataCentre int
 	running    int
+	tokens     int64
 }
 
 // simulatedEvent is a change of counters at a time.
@@ -70,7 +78,7 @@
 	var events simulatedEvents
 	after := func(at, d time.Duration, run func()) { heap.Push(&events, simulatedEvent{at + d, run}) }
 	// learn changes the counters of the other daemons when the news reaches them.
-	learn := func(at time.Duration, from, engine int, change int64) {
+	learn := func(at time.Duration, from, engine int, change, tokens int64) {
 		for _, far := range []bool{false, true} {
 			delay := w.nearDelay
 			if far {
@@ -80,6 +88,7 @@
 				for d := range views {
 					if isFar := d%w.dataCentres != from%w.dataCentres; d != from && isFar == far {
 						views[d][engine].Load.PeerOnline.Add(change)
+						views[d][engine].Load.PeerTokens.Add(change * tokens)
 					}
 				}
 			})
@@ -92,6 +101,13 @@
 		d := rng.IntN(len(views))
 		q := &Query{Roster: rosters[d], Now: clock.Now(), Random: rng.Float64, PreferredEngines: preferred[d], MaxQueue: 1}
 		out.requests++
+		var tokens int64
+		if w.tokens != nil {
+			tokens = w.tokens(rng)
+		}
+		if !w.ignoresMemory {
+			q.Tokens, q.MemoryTokens = tokens, w.memoryTokens
+		}
 		e := Choose(views[d], q)
 		if e == nil {
 			out.rejected++
@@ -105,13 +121,19 @@
 		if engines[index].running++; engines[index].running > simulatedSlots {
 			out.queued++
 		}
+		if engines[index].tokens += tokens; engines[index].tokens > w.memoryTokens {
+			out.overfilled++
+		}
 		e.Load.Online.Add(1)
-		learn(at, d, index, 1)
+		e.Load.Tokens.Add(tokens)
+		learn(at, d, index, 1, tokens)
 		end := time.Duration((0.5 + rng.Float64()) * float64(w.runTime))
 		after(at, end, func() {
 			engines[index].running--
+			engines[index].tokens -= tokens
 			e.Load.Online.Add(-1)
-			learn(at+end, d, index, -1)
+			e.Load.Tokens.Add(-tokens)
+			learn(at+end, d, index, -1, tokens)
 		})
 	}
 	return out
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -13,6 +13,7 @@
 // attempt is one sending of a request to an engine, until the response ends.
 type attempt struct {
 	engine   *blackboard.Engine
+	tokens   int64 // of the request, counted at the engine until end is called
 	ctx      context.Context
 	cancel   context.CancelFunc
 	sent     chan sendResult // has what came of a send in the background; nil without one
@@ -28,7 +29,8 @@
 	r.engineOnline, r.engineBusy = engine.OnlineRequestCount(), engine.RequestCount()
 	r.markTried(engine.ID)
 	engine.Load.Online.Add(1)
-	a := &attempt{engine: engine}
+	engine.Load.Tokens.Add(r.Tokens)
+	a := &attempt{engine: engine, tokens: r.Tokens}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	return a
 }
@@ -58,6 +60,7 @@
 		go closeLate(a.sent)
 	}
 	a.engine.Load.Online.Add(-1)
+	a.engine.Load.Tokens.Add(-a.tokens)
 }
 
 // closeLate closes a response that comes after its attempt was cancelled.
--- a/relay/request.go
+++ b/relay/request.go
@@ -28,6 +28,9 @@
 	Body []byte
 	// Segments are the segments of the prompt that other requests may share.
 	Segments []blackboard.Segment
+	// Tokens is the number of tokens that the request takes in an engine's memory when its
+	// output is complete, or 0 if that is not known.
+	Tokens int64
 }
 
 // Request is a request from a caller.
--- a/relay/tried.go
+++ b/relay/tried.go
@@ -58,7 +58,7 @@
 		return nil
 	}
 	query := placement.NewQuery(r.server.board, service, r.server.random)
-	query.Tried, query.MaxQueue = r.avoids, maxQueuedOnline
+	query.Tried, query.MaxQueue, query.Tokens = r.avoids, maxQueuedOnline, r.Tokens
 	return placement.Choose(engines, &query)
 }
 
