Learn the speed of each engine and share it in load reports

Engines of one service differ in speed, and some slow down before all their slots are taken; every daemon treated them alike. policy/capacity keeps, for each engine, the pace that it reports and the inter-event interval by quarters of its slots, relative to the median engine, so that a slow daemon or a slow fleet makes no engine slow. Reports carry own measurements of at most 8 engines, sums of 32, and only where engines report their pace. controller/loads publishes the result as one atomic.

--- a/blackboard/engines.go
+++ b/blackboard/engines.go
@@ -6,6 +6,7 @@
 
 	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/policy/capacity"
 )
 
 // Engines is an immutable set of registered engines with lookup tables.
@@ -98,6 +99,10 @@
 	// OwnReport is the load that the engine reported to this daemon. PeerReport is the
 	// load that it reported to another daemon, which passed it on.
 	OwnReport, PeerReport EngineReport
+	// OwnPace is the pace in percent that the engine reported to this daemon.
+	OwnPace EngineReport
+	// slowness is what was learned of the engine's speed, packed, or 0 if it is not known.
+	slowness atomic.Uint64
 	// Health is derived from the engine's responses.
 	Health EngineHealth
 	// Leaving reports whether the engine told this daemon that it shuts down. That never
@@ -135,6 +140,26 @@
 	return r.requests.Load()
 }
 
+// SetSlowness records how slow the engine is compared with others of its service, or with the
+// zero value that this is not known. controller/loads calls it.
+func (l *EngineLoad) SetSlowness(c capacity.Curve) { l.slowness.Store(c.Pack()) }
+
+// Slowness returns how slow the engine is compared with others of its service. It reports
+// false if that is not known, as for all engines of a service that do not report their pace.
+func (l *EngineLoad) Slowness() (c capacity.Curve, known bool) {
+	packed := l.slowness.Load()
+	return capacity.Unpack(packed), packed != 0
+}
+
+// RequestLimit returns the number of requests that the engine can take before it becomes
+// slow, or its slots if that is not known.
+func (e *Engine) RequestLimit() int {
+	if c, known := e.Load.Slowness(); known {
+		return c.Limit(e.Slots)
+	}
+	return e.Slots
+}
+
 // UseColdTurn uses up the turn and all earlier ones. It reports whether the turn was
 // unused. It may be called from several goroutines.
 func (l *EngineLoad) UseColdTurn(turn int64) bool {
--- a/blackboard/health.go
+++ b/blackboard/health.go
@@ -83,6 +83,9 @@
 	return time.Duration(h.meanInterval.Load())
 }
 
+// LastEventAt returns when the last event of a stream arrived, or 0 before the first.
+func (h *EngineHealth) LastEventAt() clock.Instant { return clock.Instant(h.lastEventAt.Load()) }
+
 // MarkSlow records that the engine is much slower than the other engines.
 func (h *EngineHealth) MarkSlow(now clock.Instant) { h.slowUntil.Store(int64(now.Add(slowDuration))) }
 
--- /dev/null
+++ b/controller/loads/capacity.go
@@ -0,0 +1,232 @@
+package loads
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/peer"
+	"github.com/baobablanding/baobablanding/policy/capacity"
+)
+
+const (
+	// paceKnownFor is how long the engines of a service are compared by speed after one of
+	// them reported its pace.
+	paceKnownFor = 30 * time.Second
+	// sampleAge is the age up to which a measurement of an engine is used or reported.
+	sampleAge = 300 * time.Millisecond
+	// maxStatesOfDaemon and maxStatesOfSum bound the engines whose state is in one report.
+	// Reports take turns if there are more.
+	maxStatesOfDaemon, maxStatesOfSum = 8, 32
+)
+
+// engineEstimate is what is learned of one start of an engine.
+type engineEstimate struct {
+	capacity.Estimate
+	sample    capacity.Sample // the last one of this daemon
+	sampledAt clock.Instant
+	eventAt   clock.Instant // of the last event that was in a sample
+}
+
+// estimates holds what the daemon learned of the engines' speed. It belongs to the holder of
+// Controller.mu.
+type estimates struct {
+	byEngine  map[*blackboard.EngineLoad]*engineEstimate
+	paceUntil map[string]clock.Instant // by service: until when its engines are compared
+	median    map[string]float64       // by service: median pace
+}
+
+func newEstimates() estimates {
+	return estimates{
+		byEngine: make(map[*blackboard.EngineLoad]*engineEstimate), paceUntil: make(map[string]clock.Instant), median: make(map[string]float64),
+	}
+}
+
+// of returns the estimate of the engine.
+func (s *estimates) of(e *blackboard.Engine) *engineEstimate {
+	estimate := s.byEngine[e.Load]
+	if estimate == nil {
+		estimate = new(engineEstimate)
+		s.byEngine[e.Load] = estimate
+	}
+	return estimate
+}
+
+// observePace records a pace that an engine reported to this or another daemon.
+func (s *estimates) observePace(e *blackboard.Engine, percent int64, now clock.Instant) {
+	s.of(e).ObservePace(float64(percent), now)
+	s.paceUntil[e.Service] = now.Add(paceKnownFor)
+}
+
+// isCompared reports whether the engines of the service are compared by speed.
+func (s *estimates) isCompared(service string, now clock.Instant) bool {
+	return now < s.paceUntil[service]
+}
+
+// applyStates records what another daemon measured of the engines.
+func (s *estimates) applyStates(engines *blackboard.Engines, states map[string]peer.EngineState, now clock.Instant) {
+	for id, state := range states {
+		e := engines.ByID(id)
+		if e == nil {
+			continue
+		}
+		if state[peer.StatePace] > 0 {
+			s.observePace(e, state[peer.StatePace], now)
+		}
+		if state[peer.StateBand] > 0 && s.isCompared(e.Service, now) {
+			sample := capacity.Sample{Band: int(state[peer.StateBand] - 1), Percent: float64(state[peer.StateInterval])}
+			s.of(e).ObserveInterval(sample, s.medianPace(e.Service), now)
+		}
+	}
+}
+
+// medianPace returns the median pace of the service's engines in percent.
+func (s *estimates) medianPace(service string) float64 {
+	if m := s.median[service]; m > 0 {
+		return m
+	}
+	return 100
+}
+
+// update measures all engines and publishes how slow they are.
+func (s *estimates) update(engines *blackboard.Engines, now clock.Instant) {
+	if len(s.byEngine) > len(engines.All) {
+		s.forgetGone(engines)
+	}
+	services := make(map[string]bool)
+	for _, e := range engines.All {
+		if pace := e.Load.OwnPace.Requests(now); pace > 0 {
+			s.observePace(e, pace, now)
+		}
+		services[e.Service] = true
+	}
+	for service := range services {
+		if s.isCompared(service, now) {
+			s.updateService(service, engines.OfService(service), now)
+			continue
+		}
+		for _, e := range engines.OfService(service) {
+			e.Load.SetSlowness(capacity.Curve{})
+		}
+	}
+}
+
+// forgetGone drops the estimates of engines that are not registered any more.
+func (s *estimates) forgetGone(engines *blackboard.Engines) {
+	present := make(map[*blackboard.EngineLoad]bool, len(engines.All))
+	for _, e := range engines.All {
+		present[e.Load] = true
+	}
+	maps.DeleteFunc(s.byEngine, func(load *blackboard.EngineLoad, _ *engineEstimate) bool { return !present[load] })
+}
+
+// updateService measures the engines of one service and publishes how slow they are.
+func (s *estimates) updateService(service string, engines []*blackboard.Engine, now clock.Instant) {
+	var paces, intervals []float64
+	for _, e := range engines {
+		paces = append(paces, s.of(e).Pace(now))
+		if interval := e.Load.Health.MeanInterval(now); interval > 0 {
+			intervals = append(intervals, float64(interval))
+		}
+	}
+	median, _ := capacity.Median(paces)
+	s.median[service] = median
+	if usual, ok := capacity.Median(intervals); ok {
+		for _, e := range engines {
+			s.sample(e, usual, now)
+		}
+	}
+	for _, e := range engines {
+		e.Load.SetSlowness(s.of(e).Curve(median, now))
+	}
+}
+
+// sample records the inter-event interval that this daemon measured at the engine, unless no
+// event came since the last sample. The usual interval is that of the median engine.
+func (s *estimates) sample(e *blackboard.Engine, usual float64, now clock.Instant) {
+	estimate := s.of(e)
+	eventAt := e.Load.Health.LastEventAt()
+	interval := e.Load.Health.MeanInterval(now)
+	if interval <= 0 || eventAt == estimate.eventAt || now.Sub(eventAt) > sampleAge {
+		return
+	}
+	estimate.eventAt, estimate.sampledAt = eventAt, now
+	estimate.sample = capacity.Sample{Band: capacity.Band(e.RequestCount(), e.Slots), Percent: 100 * float64(interval) / usual}
+	estimate.ObserveInterval(estimate.sample, s.medianPace(e.Service), now)
+}
+
+// ownStates returns what this daemon measured lately itself of engines that are compared by
+// speed, or nil if there is nothing.
+func (s *estimates) ownStates(engines []*blackboard.Engine, now clock.Instant) map[string]peer.EngineState {
+	var states map[string]peer.EngineState
+	for _, e := range engines {
+		if !s.isCompared(e.Service, now) {
+			continue
+		}
+		state := peer.EngineState{peer.StatePace: e.Load.OwnPace.Requests(now)}
+		if estimate := s.byEngine[e.Load]; estimate != nil && estimate.sampledAt != 0 && now.Sub(estimate.sampledAt) <= sampleAge {
+			state[peer.StateBand] = int64(estimate.sample.Band + 1)
+			state[peer.StateInterval] = int64(min(max(estimate.sample.Percent, 1), peer.MaxStatePercent))
+		}
+		if state == (peer.EngineState{}) {
+			continue
+		}
+		if states == nil {
+			states = make(map[string]peer.EngineState)
+		}
+		states[e.ID] = state
+	}
+	return states
+}
+
+// addStates adds the states of a report to sum and returns it. It returns nil if both are nil.
+func addStates(sum, states map[string]peer.EngineState) map[string]peer.EngineState {
+	if sum == nil && len(states) > 0 {
+		sum = make(map[string]peer.EngineState, len(states))
+	}
+	for id, state := range states {
+		sum[id] = addState(sum[id], state)
+	}
+	return sum
+}
+
+// addState returns the state of one engine by the states of two reports: the mean pace, and
+// the interval in the higher band, or the mean if both are in the same.
+func addState(a, b peer.EngineState) peer.EngineState {
+	sum := peer.EngineState{peer.StatePace: mean(a[peer.StatePace], b[peer.StatePace])}
+	switch {
+	case a[peer.StateBand] == b[peer.StateBand]:
+		sum[peer.StateInterval] = mean(a[peer.StateInterval], b[peer.StateInterval])
+	case a[peer.StateBand] > b[peer.StateBand]:
+		sum[peer.StateInterval] = a[peer.StateInterval]
+	default:
+		sum[peer.StateInterval] = b[peer.StateInterval]
+	}
+	sum[peer.StateBand] = max(a[peer.StateBand], b[peer.StateBand])
+	return sum
+}
+
+// mean returns the mean of two numbers of which 0 is unknown.
+func mean(a, b int64) int64 {
+	if a == 0 || b == 0 {
+		return a + b
+	}
+	return (a + b) / 2
+}
+
+// boundStates returns at most limit of the states. Successive turns choose different ones.
+func boundStates(states map[string]peer.EngineState, limit int, turn int64) map[string]peer.EngineState {
+	if len(states) <= limit {
+		return states
+	}
+	ids := slices.Sorted(maps.Keys(states))
+	bounded := make(map[string]peer.EngineState, limit)
+	first := int(turn%int64(len(ids))) * limit
+	for i := range limit {
+		id := ids[(first+i)%len(ids)]
+		bounded[id] = states[id]
+	}
+	return bounded
+}
--- a/controller/loads/datacentre.go
+++ b/controller/loads/datacentre.go
@@ -97,6 +97,7 @@
 		admitted[name] += c.admittedNearby[name]
 	}
 	sum.Admitted = c.sums.admitted.changed(admitted)
+	sum.States = c.estimates.ownStates(c.board.Engines.Value().All, now)
 	for _, r := range c.reports {
 		if r.DataCentre != nil || roster.DataCentreOf(r.From) != own.Name || now.Sub(r.receivedAt) > maxReportAge {
 			continue
@@ -110,7 +111,9 @@
 			sum.Engines[id] = addCounts(sum.Engines[id], counts)
 		}
 		sum.Tokens = addTokens(sum.Tokens, r.Tokens)
+		sum.States = addStates(sum.States, r.States)
 	}
+	sum.States = boundStates(sum.States, maxStatesOfSum, c.sums.sent)
 	return sum
 }
 
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -55,7 +55,8 @@
 	reports map[string]*report // by reportKey
 	// admitted holds the last known counts of admitted requests, by workspace, of the
 	// daemons that report their own and of those that report sums.
-	admitted map[admissionsOf]map[string]int64
+	admitted  map[admissionsOf]map[string]int64
+	estimates estimates
 	// admittedNearby counts the requests that other daemons of this data centre were seen
 	// to admit, by workspace.
 	admittedNearby map[string]int64
@@ -96,7 +97,7 @@
 		admittedHere: make(changedCounts), evidence: make(evidenceSender),
 		sums:    sumSender{admitted: make(changedCounts), evidence: make(evidenceSender)},
 		reports: make(map[string]*report), admitted: make(map[admissionsOf]map[string]int64),
-		admittedNearby: make(map[string]int64),
+		admittedNearby: make(map[string]int64), estimates: newEstimates(),
 	}
 }
 
@@ -168,6 +169,7 @@
 	}
 	c.applyEngineCounts(old.Engines, r.Engines)
 	c.applyTokens(old.Tokens, r.Tokens)
+	c.estimates.applyStates(c.board.Engines.Value(), r.States, clock.Now())
 	series := admissionsOf{from: r.From, isSum: r.DataCentre != nil}
 	if c.admitted[series] == nil {
 		c.admitted[series] = make(map[string]int64)
@@ -242,6 +244,9 @@
 // newReport returns the load report of this daemon.
 func (c *Controller) newReport(roster *blackboard.Roster, sequence int64) peer.LoadReport {
 	r := c.ownCounts(roster, sequence)
+	c.mu.Lock()
+	r.States = boundStates(c.estimates.ownStates(c.board.Engines.Value().All, clock.Now()), maxStatesOfDaemon, sequence)
+	c.mu.Unlock()
 	r.Admitted = c.admittedHere.changed(admittedCounts(c.board.RateLimiters.Value()))
 	self, now := roster.Self.Name, clock.Now()
 	r.Evidence = encodeEvidence(c.evidence.choose(ownPieces(c.board.Evidence.Value(), self), maxToldByDaemon, now), self, now)
--- a/peer/loadcheck.go
+++ b/peer/loadcheck.go
@@ -20,6 +20,9 @@
 	for _, counts := range r.Engines {
 		numbers = append(numbers, counts[:]...)
 	}
+	for _, state := range r.States {
+		numbers = append(numbers, state[:]...)
+	}
 	for _, counts := range []map[string]int64{r.Admitted, r.Tokens} {
 		for _, n := range counts {
 			numbers = append(numbers, n)
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -21,6 +21,25 @@
 // fifth; its absence stands for 0.
 type EngineCounts [5]int64
 
+// Indexes of an EngineState.
+const (
+	// StatePace is the pace in percent that the engine reported, or 0 if it did not lately.
+	StatePace = iota
+	// StateBand is 1 plus the capacity.Band in which the sender measured the interval, or 0 if
+	// it did not lately.
+	StateBand
+	// StateInterval is the inter-event interval of the engine, in percent of that of the
+	// median engine.
+	StateInterval
+	engineStateNumbers
+)
+
+// MaxStatePercent bounds the percentages in an EngineState.
+const MaxStatePercent = 100_000
+
+// EngineState is what one daemon measured of an engine.
+type EngineState [engineStateNumbers]int64
+
 // LoadReport tells other entry daemons how many requests the sender has at each engine, or
 // how many the daemons of its data centre have there together.
 type LoadReport struct {
@@ -43,6 +62,10 @@
 	// where the configuration says how many tokens an engine holds. Engines without any are
 	// left out. Daemons of earlier builds ignore it.
 	Tokens map[string]int64 `json:"tokens,omitempty"`
+	// States holds what the sender measured lately of engines that report their pace, by
+	// engine id. A report holds those of a bounded number of engines. Daemons of earlier
+	// builds ignore it.
+	States map[string]EngineState `json:"states,omitempty"`
 	// DataCentre is set if the report is a sum. WaitingItems is then 0, ReadAgeMs the
 	// lowest age, the third of an engine's counts the largest and the fourth and fifth
 	// the numbers of daemons; Admitted counts what the sender knows to have been admitted.
--- a/relay/request.go
+++ b/relay/request.go
@@ -123,6 +123,9 @@
 func (r *Response) RecordLoad(engine *blackboard.Engine) {
 	if r.Running >= 0 {
 		engine.Load.OwnReport.Record(int64(r.Running+r.Waiting), clock.Now())
+		if r.Pace > 0 {
+			engine.Load.OwnPace.Record(int64(r.Pace), clock.Now())
+		}
 	}
 }
 
