Score engines by expected time

Where engines report their pace, an engine's load counts with the square of its slowness, and one that would queue the request comes after those with a free slot; items use the number of requests at which an engine is still fast. Without pace the scores are as before.

--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -48,7 +48,7 @@
 		if spare <= 0 || !q.hasMemoryForItem(e) || !q.mayFill(e, spare, delays) {
 			return 0, false
 		}
-		free := float64(spare)/float64(e.Slots) + q.Random()/(2*float64(e.Slots))
+		free := float64(spare)/(float64(e.Slots)*slowness(e)) + q.Random()/(2*float64(e.Slots))
 		if e.Load.LeavingByPeers.Load() {
 			return leavingScore - free, true
 		}
@@ -56,6 +56,14 @@
 	})
 }
 
+// slowness returns how many times slower than others the engine is, or 1 if that is not known.
+func slowness(e *blackboard.Engine) float64 {
+	if curve, known := e.Load.Slowness(); known {
+		return curve.Slowness(e.RequestCount()+1, e.Slots)
+	}
+	return 1
+}
+
 const (
 	// lateReserve is how many slots of an engine items leave to online requests if the
 	// daemons report by sums: these learn late that an item must give way.
@@ -67,7 +75,7 @@
 // spareSlots returns the number of free slots of the engine that items may take. An engine
 // that is not preferred counts one less.
 func (q *BatchQuery) spareSlots(e *blackboard.Engine) int {
-	spare := e.Slots - e.RequestCount()
+	spare := e.RequestLimit() - e.RequestCount()
 	if !q.PreferredEngines[e.ID] {
 		spare--
 	}
@@ -100,12 +108,13 @@
 
 // ItemsToPreempt returns how many of its items at the engine this daemon preempts so
 // that online requests need not wait. Daemons with items at the engine together preempt
-// as many as it has requests beyond its slots, each in proportion to its items. The
+// as many as it has requests beyond its slots, or one more than it can take before it becomes
+// slow, each in proportion to its items. The
 // number is rounded up if random, a number in [0, 1), is below its fractional part.
 func ItemsToPreempt(e *blackboard.Engine, random float64) int {
 	own := e.Load.Batch.Load()
 	all := own + e.Load.PeerBatch.Load()
-	over := int64(e.RequestCount() - e.Slots)
+	over := int64(e.RequestCount() - min(e.Slots, e.RequestLimit()+1))
 	if own == 0 || over <= 0 {
 		return 0
 	}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -168,12 +168,34 @@
 // load.
 const ejectedScore = 1e6
 
+// load returns the load of the engine as a fraction of its slots. If the speed of the service's
+// engines is known, it is the load with one more request, times the square of the engine's
+// slowness: so much longer the request takes, and so much longer those that follow find the
+// engine taken.
+func load(e *blackboard.Engine) float64 {
+	n := e.RequestCount()
+	curve, known := e.Load.Slowness()
+	if !known {
+		return float64(n) / float64(e.Slots)
+	}
+	slowness := curve.Slowness(n+1, e.Slots)
+	load := float64(n+1) / float64(e.Slots) * slowness * slowness
+	if n >= e.Slots {
+		load += fullLoad
+	}
+	return load
+}
+
+// fullLoad is added to the load of an engine of known speed at which the request would wait for
+// a slot. It exceeds the load of each engine with a free slot, whose slowness is at most 4.
+const fullLoad = 20
+
 // score returns the load of the engine as a fraction of its slots, or of its memory if that is
 // more, plus penalties.
 // The lowest score is best. Engines that are missing from the store score worse than
 // all others but the last choices.
 func (q *Query) score(e *blackboard.Engine) float64 {
-	score := max(float64(e.RequestCount())/float64(e.Slots), q.memoryLoad(e))
+	score := max(load(e), q.memoryLoad(e))
 	if !q.PreferredEngines[e.ID] {
 		score += q.distancePenalty(e) / float64(e.Slots)
 	}
--- a/policy/placement/workload_test.go
+++ b/policy/placement/workload_test.go
@@ -26,12 +26,23 @@
 	tokens        func(*rand.Rand) int64
 	memoryTokens  int64
 	ignoresMemory bool
+
+	// slowness returns how many times longer than runTime a request takes that begins at an
+	// engine with this number of requests. It may be nil.
+	slowness func(engine int, at time.Duration, running int) float64
+	// learn is called each learnInterval with what the engines have and what the daemons
+	// know. It may be nil.
+	learn func(at time.Duration, engines []simulatedEngine, views [][]*blackboard.Engine)
 }
 
+const learnInterval = 100 * time.Millisecond
+
 // outcome is what the requests of a workload met.
 type outcome struct {
 	requests, queued, rejected, remote int
 	overfilled                         int // requests by which an engine held more than its memory
+	slow                               int // requests that took at least twice as long as usual
+	stretch                            float64
 }
 
 // simulatedEngine is an engine as it is, not as the daemons know it.
@@ -94,10 +105,14 @@
 			})
 		}
 	}
+	var learnt time.Duration
 	for at := time.Duration(0); at < w.length; at += time.Duration(rng.ExpFloat64() / w.rate * float64(time.Second)) {
 		for len(events) > 0 && events[0].at <= at {
 			heap.Pop(&events).(simulatedEvent).run()
 		}
+		for ; w.learn != nil && learnt <= at; learnt += learnInterval {
+			w.learn(learnt, engines, views)
+		}
 		d := rng.IntN(len(views))
 		q := &Query{Roster: rosters[d], Now: clock.Now(), Random: rng.Float64, PreferredEngines: preferred[d], MaxQueue: 1}
 		out.requests++
@@ -128,6 +143,13 @@
 		e.Load.Tokens.Add(tokens)
 		learn(at, d, index, 1, tokens)
 		end := time.Duration((0.5 + rng.Float64()) * float64(w.runTime))
+		if w.slowness != nil {
+			factor := w.slowness(index, at, engines[index].running)
+			end = time.Duration(float64(end) * factor)
+			if out.stretch += factor; factor >= 2 {
+				out.slow++
+			}
+		}
 		after(at, end, func() {
 			engines[index].running--
 			engines[index].tokens -= tokens
