Tell other daemons of engines that answer with failures

An engine that fails at once looks idle and attracts requests, and every daemon had to meet it itself. A status 500 of an online request cannot come from one daemon's path: daemons with such an answer tell it in their load reports for 3 s, and an engine of which two daemons do is the last choice for all until a later request is answered well. Only a request's first engine counts, and at most a third of a service's engines can become a last choice this way.

--- a/blackboard/health.go
+++ b/blackboard/health.go
@@ -16,6 +16,11 @@
 	slowUntil    atomic.Int64 // clock.Instant, moved when the engine is found slow
 	meanInterval atomic.Int64 // mean inter-event interval, in ns
 	lastEventAt  atomic.Int64 // clock.Instant of the last event of a stream
+	failedAt     atomic.Int64 // clock.Instant of the last failed answer to an online request
+	wellAt       atomic.Int64 // clock.Instant of the sending of the last request that was answered well
+	// FailsByPeers reports whether the engine answers requests of several daemons with
+	// failures. It is then the last choice only. controller/loads writes it.
+	FailsByPeers atomic.Bool
 	// SuspectedByPeers reports whether enough other daemons suspect the engine.
 	// controller/loads writes it.
 	SuspectedByPeers atomic.Bool
@@ -62,6 +67,24 @@
 	h.suspectUntil.Store(int64(now.Add(suspicion)))
 }
 
+// RecordFailedAnswer records that the engine itself answered an online request with a failure,
+// which no path between daemon and engine can cause.
+func (h *EngineHealth) RecordFailedAnswer(now clock.Instant) {
+	update(&h.failedAt, func(at int64) int64 { return max(at, int64(now)) })
+}
+
+// RecordGoodAnswer records that the engine answered well a request that was sent at the
+// instant. Requests that were sent before a failure say nothing about the time after it.
+func (h *EngineHealth) RecordGoodAnswer(sentAt clock.Instant) {
+	update(&h.wellAt, func(at int64) int64 { return max(at, int64(sentAt)) })
+}
+
+// LastAnswers returns when the last failed answer came, and when the last request was sent
+// that the engine answered well. Either is 0 if there was none.
+func (h *EngineHealth) LastAnswers() (failedAt, wellAt clock.Instant) {
+	return clock.Instant(h.failedAt.Load()), clock.Instant(h.wellAt.Load())
+}
+
 // ObserveInterval records one inter-event interval of a stream. The average restarts
 // at the interval if the last event is older than intervalValidity.
 func (h *EngineHealth) ObserveInterval(interval time.Duration, now clock.Instant) {
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -234,6 +234,7 @@
 	switch outcome {
 	case completed:
 		engine.Load.Health.RecordSuccess()
+		engine.Load.Health.RecordGoodAnswer(s.startedAt)
 		c.runTime.Observe(s.earlierRuns)
 		o.finished = append(o.finished, s.result(job.Completed))
 		return
--- a/controller/loads/capacity.go
+++ b/controller/loads/capacity.go
@@ -216,17 +216,17 @@
 	return (a + b) / 2
 }
 
-// boundStates returns at most limit of the states. Successive turns choose different ones.
-func boundStates(states map[string]peer.EngineState, limit int, turn int64) map[string]peer.EngineState {
-	if len(states) <= limit {
-		return states
+// bounded returns at most limit of the entries. Successive turns choose different ones.
+func bounded[V any](entries map[string]V, limit int, turn int64) map[string]V {
+	if len(entries) <= limit {
+		return entries
 	}
-	ids := slices.Sorted(maps.Keys(states))
-	bounded := make(map[string]peer.EngineState, limit)
+	ids := slices.Sorted(maps.Keys(entries))
+	chosen := make(map[string]V, limit)
 	first := int(turn%int64(len(ids))) * limit
 	for i := range limit {
 		id := ids[(first+i)%len(ids)]
-		bounded[id] = states[id]
+		chosen[id] = entries[id]
 	}
-	return bounded
+	return chosen
 }
--- a/controller/loads/datacentre.go
+++ b/controller/loads/datacentre.go
@@ -97,7 +97,7 @@
 		admitted[name] += c.admittedNearby[name]
 	}
 	sum.Admitted = c.sums.admitted.changed(admitted)
-	sum.States = c.estimates.ownStates(c.board.Engines.Value().All, now)
+	sum.States, sum.Failing = c.estimates.ownStates(c.board.Engines.Value().All, now), c.ownFailing(now)
 	for _, r := range c.reports {
 		if r.DataCentre != nil || roster.DataCentreOf(r.From) != own.Name || now.Sub(r.receivedAt) > maxReportAge {
 			continue
@@ -112,8 +112,9 @@
 		}
 		sum.Tokens = addTokens(sum.Tokens, r.Tokens)
 		sum.States = addStates(sum.States, r.States)
+		sum.Failing = addFailing(sum.Failing, r.Failing, now.Sub(r.receivedAt))
 	}
-	sum.States = boundStates(sum.States, maxStatesOfSum, c.sums.sent)
+	sum.States, sum.Failing = bounded(sum.States, maxStatesOfSum, c.sums.sent), bounded(sum.Failing, maxFailingOfSum, c.sums.sent)
 	return sum
 }
 
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -57,6 +57,8 @@
 	// daemons that report their own and of those that report sums.
 	admitted  map[admissionsOf]map[string]int64
 	estimates estimates
+	// failures holds what other daemons reported of failed answers, by engine.
+	failures map[string][]placement.FailureClaim
 	// admittedNearby counts the requests that other daemons of this data centre were seen
 	// to admit, by workspace.
 	admittedNearby map[string]int64
@@ -245,7 +247,8 @@
 func (c *Controller) newReport(roster *blackboard.Roster, sequence int64) peer.LoadReport {
 	r := c.ownCounts(roster, sequence)
 	c.mu.Lock()
-	r.States = boundStates(c.estimates.ownStates(c.board.Engines.Value().All, clock.Now()), maxStatesOfDaemon, sequence)
+	r.States = bounded(c.estimates.ownStates(c.board.Engines.Value().All, clock.Now()), maxStatesOfDaemon, sequence)
+	r.Failing = bounded(c.ownFailing(clock.Now()), maxFailingOfDaemon, sequence)
 	c.mu.Unlock()
 	r.Admitted = c.admittedHere.changed(admittedCounts(c.board.RateLimiters.Value()))
 	self, now := roster.Self.Name, clock.Now()
--- a/controller/loads/sum.go
+++ b/controller/loads/sum.go
@@ -10,15 +10,16 @@
 
 // totals is the sum of the reports of the other daemons.
 type totals struct {
-	online, batch  map[string]int64    // numbers of requests, by engine
-	tokens         map[string]int64    // of these, by engine
-	suspectedFrom  map[string][]string // by engine: data centres of the daemons that suspect it
-	leaving        map[string]bool     // engines that leave according to a daemon
-	waitingDaemons int                 // number of daemons on which batch items wait
-	waitingNearby  int                 // number of these in the own data centre
-	daemons        int                 // number of daemons whose load is in the sums
-	ages           time.Duration       // of the reports, together; a sum counts for each of its daemons
-	lastReadAt     clock.Instant       // when a daemon sent the newest read of the configuration
+	online, batch  map[string]int64                    // numbers of requests, by engine
+	tokens         map[string]int64                    // of these, by engine
+	failures       map[string][]placement.FailureClaim // by engine
+	suspectedFrom  map[string][]string                 // by engine: data centres of the daemons that suspect it
+	leaving        map[string]bool                     // engines that leave according to a daemon
+	waitingDaemons int                                 // number of daemons on which batch items wait
+	waitingNearby  int                                 // number of these in the own data centre
+	daemons        int                                 // number of daemons whose load is in the sums
+	ages           time.Duration                       // of the reports, together; a sum counts for each of its daemons
+	lastReadAt     clock.Instant                       // when a daemon sent the newest read of the configuration
 }
 
 // applyTotals replaces the other daemons' part of the engines' loads by the sum of the
@@ -31,6 +32,7 @@
 	t := c.totals(roster)
 	c.board.PeerReportAge.Store(int64(t.meanAge(roster)))
 	c.estimates.update(c.board.Engines.Value(), now)
+	c.applyFailures(t.failures, now)
 	engines := c.board.Engines.Value().All
 	for _, e := range engines {
 		e.Load.PeerOnline.Store(t.online[e.ID])
@@ -66,7 +68,7 @@
 // totals adds up the reports. A daemon whose data centre sent a sum counts with that only.
 // The caller holds c.mu.
 func (c *Controller) totals(roster *blackboard.Roster) totals {
-	t := totals{online: make(map[string]int64), batch: make(map[string]int64), suspectedFrom: make(map[string][]string), leaving: make(map[string]bool)}
+	t := totals{failures: make(map[string][]placement.FailureClaim), online: make(map[string]int64), batch: make(map[string]int64), suspectedFrom: make(map[string][]string), leaving: make(map[string]bool)}
 	for _, r := range c.reports {
 		dataCentre := roster.DataCentreOf(r.From)
 		if r.DataCentre == nil && c.reports[sumKey(dataCentre)] != nil && dataCentre != roster.Self.DataCentre {
@@ -98,6 +100,7 @@
 	default:
 		t.daemons++
 	}
+	t.addFailures(r)
 	t.tokens = addTokens(t.tokens, r.Tokens)
 	t.lastReadAt = max(t.lastReadAt, r.lastReadAt())
 	for id, counts := range r.Engines {
--- a/peer/loadcheck.go
+++ b/peer/loadcheck.go
@@ -20,6 +20,9 @@
 	for _, counts := range r.Engines {
 		numbers = append(numbers, counts[:]...)
 	}
+	for _, f := range r.Failing {
+		numbers = append(numbers, int64(f.Daemons), f.FailedMs, f.WellMs)
+	}
 	for _, state := range r.States {
 		numbers = append(numbers, state[:]...)
 	}
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -40,6 +40,16 @@
 // EngineState is what one daemon measured of an engine.
 type EngineState [engineStateNumbers]int64
 
+// EngineFailures tells what one daemon, or several of a data centre, had from an engine.
+type EngineFailures struct {
+	// Daemons is the number of daemons whose last answer from the engine was a failure.
+	Daemons int `json:"n,omitempty"`
+	// FailedMs is 1 plus the age in ms of the last of these answers, or 0 without one. WellMs
+	// is the same for the sending of the last request that the engine answered well.
+	FailedMs int64 `json:"failed,omitempty"`
+	WellMs   int64 `json:"well,omitempty"`
+}
+
 // LoadReport tells other entry daemons how many requests the sender has at each engine, or
 // how many the daemons of its data centre have there together.
 type LoadReport struct {
@@ -66,6 +76,9 @@
 	// engine id. A report holds those of a bounded number of engines. Daemons of earlier
 	// builds ignore it.
 	States map[string]EngineState `json:"states,omitempty"`
+	// Failing holds, by engine id, what engines answered that answer with failures. A report
+	// holds a bounded number of them. Daemons of earlier builds ignore it.
+	Failing map[string]EngineFailures `json:"failing,omitempty"`
 	// DataCentre is set if the report is a sum. WaitingItems is then 0, ReadAgeMs the
 	// lowest age, the third of an engine's counts the largest and the fourth and fifth
 	// the numbers of daemons; Admitted counts what the sender knows to have been admitted.
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -30,14 +30,14 @@
 	return max(minPreemptionInterval, 2*delays.Far)
 }
 
-// leavingScore is the score of an engine without free slots that leaves according to other
-// daemons. It exceeds that of every other engine.
+// leavingScore is the score of an engine without free slots that leaves or fails according to
+// other daemons. It exceeds that of every other engine.
 const leavingScore = 1e6
 
 // ChooseForBatch returns the engine with the largest fraction of free slots that may
 // take an item, or nil. An engine is considered only with a probability, see mayFill, so
 // that the daemons on which items wait do not fill it together before they learn of each
-// other's items. Engines that leave according to other daemons come last.
+// other's items. Engines that leave or fail according to other daemons come last.
 func ChooseForBatch(engines []*blackboard.Engine, q *BatchQuery) *blackboard.Engine {
 	delays := q.Roster.LoadDelays()
 	return chooseBest(engines, &q.Query, func(e *blackboard.Engine) (float64, bool) {
@@ -49,7 +49,7 @@
 			return 0, false
 		}
 		free := float64(spare)/(float64(e.Slots)*slowness(e)) + q.Random()/(2*float64(e.Slots))
-		if e.Load.LeavingByPeers.Load() {
+		if isLastChoiceOfPeers(e) {
 			return leavingScore - free, true
 		}
 		return -free, true
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -159,9 +159,15 @@
 	return e.IsUsable() && e.IsKept(q.Now) && (q.Tried == nil || !q.Tried(e)) && e.OnlineRequestCount() < e.Slots+q.MaxQueue && q.hasMemory(e)
 }
 
-// isLastChoice reports whether the engine is ejected, or leaves according to other daemons.
+// isLastChoice reports whether the engine is ejected, or leaves or fails according to other
+// daemons.
 func (q *Query) isLastChoice(e *blackboard.Engine) bool {
-	return e.Load.Health.IsEjected(q.Now) || e.Load.LeavingByPeers.Load()
+	return e.Load.Health.IsEjected(q.Now) || isLastChoiceOfPeers(e)
+}
+
+// isLastChoiceOfPeers reports whether the engine leaves or fails according to other daemons.
+func isLastChoiceOfPeers(e *blackboard.Engine) bool {
+	return e.Load.LeavingByPeers.Load() || e.Load.Health.FailsByPeers.Load()
 }
 
 // ejectedScore is added to the score of an engine that is a last choice. It exceeds every
--- a/policy/placement/workload_test.go
+++ b/policy/placement/workload_test.go
@@ -33,6 +33,11 @@
 	// learn is called each learnInterval with what the engines have and what the daemons
 	// know. It may be nil.
 	learn func(at time.Duration, engines []simulatedEngine, views [][]*blackboard.Engine)
+	// fails reports whether the engine answers with a failure at once. It may be nil.
+	fails func(engine int, at time.Duration) bool
+	// answered is called with each answer, at the time at in the given daemon's view, for a
+	// request that was sent at the time sent. It may be nil.
+	answered func(d, engine int, e *blackboard.Engine, sent, at time.Duration, failed bool)
 }
 
 const learnInterval = 100 * time.Millisecond
@@ -43,6 +48,7 @@
 	overfilled                         int // requests by which an engine held more than its memory
 	slow                               int // requests that took at least twice as long as usual
 	stretch                            float64
+	failed                             int
 }
 
 // simulatedEngine is an engine as it is, not as the daemons know it.
@@ -73,6 +79,9 @@
 
 const simulatedSlots = 8
 
+// simulationStart is the instant of the time 0 of a workload.
+const simulationStart = clock.Instant(time.Hour)
+
 // run plays the workload with the given seed.
 func (w *workload) run(seed uint64) outcome {
 	rng := rand.New(rand.NewPCG(seed, 1))
@@ -114,7 +123,7 @@
 			w.learn(learnt, engines, views)
 		}
 		d := rng.IntN(len(views))
-		q := &Query{Roster: rosters[d], Now: clock.Now(), Random: rng.Float64, PreferredEngines: preferred[d], MaxQueue: 1}
+		q := &Query{Roster: rosters[d], Now: simulationStart.Add(at), Random: rng.Float64, PreferredEngines: preferred[d], MaxQueue: 1}
 		out.requests++
 		var tokens int64
 		if w.tokens != nil {
@@ -130,6 +139,11 @@
 		}
 		var index int
 		_, _ = fmt.Sscanf(e.ID, "i-%d", &index)
+		if w.fails != nil && w.fails(index, at) {
+			out.failed++
+			w.answered(d, index, e, at, at, true)
+			continue
+		}
 		if engines[index].dataCentre != d%w.dataCentres {
 			out.remote++
 		}
@@ -151,6 +165,9 @@
 			}
 		}
 		after(at, end, func() {
+			if w.answered != nil {
+				w.answered(d, index, e, at, at+end, false)
+			}
 			engines[index].running--
 			engines[index].tokens -= tokens
 			e.Load.Online.Add(-1)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -13,6 +13,7 @@
 // attempt is one sending of a request to an engine, until the response ends.
 type attempt struct {
 	engine   *blackboard.Engine
+	sentAt   clock.Instant
 	tokens   int64 // of the request, counted at the engine until end is called
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -30,7 +31,7 @@
 	r.markTried(engine.ID)
 	engine.Load.Online.Add(1)
 	engine.Load.Tokens.Add(r.Tokens)
-	a := &attempt{engine: engine, tokens: r.Tokens}
+	a := &attempt{engine: engine, tokens: r.Tokens, sentAt: clock.Now()}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	return a
 }
@@ -121,6 +122,7 @@
 	}
 	if !failed {
 		a.engine.Load.Health.RecordSuccess()
+		a.engine.Load.Health.RecordGoodAnswer(a.sentAt)
 	}
 	return nil
 }
@@ -154,6 +156,9 @@
 	response.RecordLoad(a.engine)
 	if response.failed() {
 		a.engine.Load.Health.RecordFailure(clock.Now())
+		if response.Class == Failed && r.runs == 1 { // a request that fails everywhere counts once
+			a.engine.Load.Health.RecordFailedAnswer(clock.Now())
+		}
 		r.logAttempt(a.engine, "failed").Int("status", response.Status).Bool("retry", r.mayRunAgain()).Msg("engine returned an error")
 	}
 	return nil
