--- a/daemon/entrymetrics.go
+++ b/daemon/entrymetrics.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -36,6 +38,34 @@
 		now := clock.Now()
 		return float64(countEngines(board, func(e *blackboard.Engine) bool { return e.Load.Health.IsEjected(now) }))
 	})
+	gauge("engines_failing", "Registered engines that accept new requests but are the last choice because they answer requests of several daemons with failures.", func() float64 {
+		return float64(countEngines(board, func(e *blackboard.Engine) bool { return e.Load.Health.FailsByPeers.Load() }))
+	})
+	gauge("engines_slow", "Registered engines that accept new requests and are at least 1.5 times slower than the median engine with the requests that they have.", func() float64 {
+		return float64(countEngines(board, isSlow))
+	})
+	gauge("engines_limited", "Registered engines that accept new requests and become slow before all their slots are taken.", func() float64 {
+		return float64(countEngines(board, func(e *blackboard.Engine) bool { return e.RequestLimit() < e.Slots }))
+	})
+	gauge("engine_tokens", "Tokens of the requests and batch items that this daemon has at engines, each with its whole prompt and largest output.", func() float64 {
+		var sum int64
+		for _, e := range board.Engines.Value().All {
+			sum += e.Load.Tokens.Load()
+		}
+		return float64(sum)
+	})
+	gauge("peer_report_age_seconds", "Mean age of what this daemon knows of the others' requests, in seconds.", func() float64 {
+		return time.Duration(board.PeerReportAge.Load()).Seconds()
+	})
+}
+
+// slowFactor is how many times slower than the median engine one counts as slow.
+const slowFactor = 1.5
+
+// isSlow reports whether the engine is known to be slow with the requests that it has.
+func isSlow(e *blackboard.Engine) bool {
+	curve, known := e.Load.Slowness()
+	return known && curve.Slowness(max(e.RequestCount(), 1), e.Slots) >= slowFactor
 }
 
 // countEngines returns the number of usable engines for which selected returns true.
--- a/policy/capacity/capacity_test.go
+++ b/policy/capacity/capacity_test.go
@@ -109,3 +109,23 @@
 		}
 	})
 }
+
+// TestBurstAfterAPause guards against a burst that goes to the engines which were fast before a
+// pause, and against an engine that slows down with many requests and whose limit is forgotten
+// as soon as it has none.
+func TestBurstAfterAPause(t *testing.T) {
+	var slow, crowded Estimate
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		slow.ObservePace(300, now)
+		crowded.ObserveInterval(Sample{Band: 0, Percent: 100}, 100, now)
+		crowded.ObserveInterval(Sample{Band: 2, Percent: 300}, 100, now)
+	}
+	after := start.Add(8 * time.Second) // a pause of 6 s
+	if s := slow.Curve(100, after).Slowness(1, 8); s > 1.25 {
+		t.Errorf("an engine counts as %.2f times slower after a pause", s)
+	}
+	if limit := crowded.Curve(100, after).Limit(8); limit != 4 {
+		t.Errorf("the limit is %d after a pause, want 4", limit)
+	}
+}
--- a/policy/placement/capacity_workload_test.go
+++ b/policy/placement/capacity_workload_test.go
@@ -38,60 +38,109 @@
 const (
 	byCount way = iota
 	byFixedWeights
+	byLimit        // additive increase and multiplicative decrease of a limit for each engine
+	byMeanInterval // the mean interval, whatever the number of requests
 	byPaceAlone
 	byLearning
 )
 
-// play plays the workload with the given way to learn.
-func (w *speedWorkload) play(how way) outcome {
-	rng := rand.New(rand.NewPCG(7, 7))
-	estimates := make([]capacity.Estimate, w.dataCentres*w.enginesEach)
-	var told []func() // measurements that are told with the next reports
-	w.slowness = w.factor
-	w.learn = func(at time.Duration, engines []simulatedEngine, views [][]*blackboard.Engine) {
-		now := clock.Instant(time.Hour + at)
-		var paces, intervals []float64
-		for _, tell := range told {
-			tell()
+var wayNames = []string{"count", "fixed weights", "limit", "mean interval", "pace alone", "learned"}
+
+// limitCurve returns the curve of an engine that gets requests up to the limit first.
+func limitCurve(limit float64) (c capacity.Curve) {
+	for b := range c {
+		if c[b] = 100; b > capacity.Band(int(limit), simulatedSlots) {
+			c[b] = 400
 		}
-		told = nil
-		for i := range engines {
-			paces = append(paces, estimates[i].Pace(now))
-			if engines[i].running > 0 {
-				intervals = append(intervals, w.factor(i, at, engines[i].running))
-			}
+	}
+	return c
+}
+
+// learner is what the daemons of a speedWorkload learn together in one way.
+type learner struct {
+	*speedWorkload
+	how       way
+	rng       *rand.Rand
+	estimates []capacity.Estimate
+	limits    []float64
+	told      []func() // measurements that are told with the next reports
+}
+
+// learn measures the engines, and applies what was measured one interval before.
+func (l *learner) learn(at time.Duration, engines []simulatedEngine, views [][]*blackboard.Engine) {
+	now := clock.Instant(time.Hour + at)
+	for _, tell := range l.told {
+		tell()
+	}
+	l.told = nil
+	var paces, intervals []float64
+	for i := range engines {
+		paces = append(paces, l.estimates[i].Pace(now))
+		if engines[i].running > 0 {
+			intervals = append(intervals, l.factor(i, at, engines[i].running))
 		}
-		medianPace, _ := capacity.Median(paces)
-		usual, measured := capacity.Median(intervals)
-		for i := range engines {
-			running, noise := engines[i].running, 0.8+0.4*rng.Float64()
-			told = append(told, func() {
-				if running > 0 && how >= byPaceAlone && w.reportsPace {
-					estimates[i].ObservePace(100*w.vm(i, at), now)
-				}
-				if running > 0 && how == byLearning && measured {
-					s := capacity.Sample{Band: capacity.Band(running, simulatedSlots), Percent: 100 * noise * w.factor(i, at, running) / usual}
-					estimates[i].ObserveInterval(s, medianPace, now)
-				}
-			})
-			var curve capacity.Curve
-			switch how {
-			case byFixedWeights:
-				for b := range curve {
-					curve[b] = uint16(100 * w.permanent(i))
-				}
-			case byPaceAlone, byLearning:
-				curve = estimates[i].Curve(medianPace, now)
-			}
-			for d := range views {
-				views[d][i].Load.SetSlowness(curve)
-			}
+	}
+	medianPace, _ := capacity.Median(paces)
+	usual, measured := capacity.Median(intervals)
+	for i := range engines {
+		if running := engines[i].running; running > 0 && measured {
+			percent := 100 * (0.8 + 0.4*l.rng.Float64()) * l.factor(i, at, running) / usual
+			l.told = append(l.told, func() { l.observe(i, at, running, percent, medianPace) })
+		}
+		for d := range views {
+			views[d][i].Load.SetSlowness(l.curve(i, medianPace, now))
 		}
 	}
+}
+
+// observe records what was measured of an engine.
+func (l *learner) observe(i int, at time.Duration, running int, percent, medianPace float64) {
+	now := clock.Instant(time.Hour + at)
+	sample := capacity.Sample{Band: capacity.Band(running, simulatedSlots), Percent: percent}
+	if l.how >= byPaceAlone && l.reportsPace {
+		l.estimates[i].ObservePace(100*l.vm(i, at), now)
+	}
+	switch l.how {
+	case byLimit:
+		l.limits[i] = min(l.limits[i]+0.1, simulatedSlots)
+		if percent > 150 {
+			l.limits[i] = max(0.8*min(l.limits[i], float64(running)), 1)
+		}
+	case byMeanInterval:
+		sample.Band = 0
+		l.estimates[i].ObserveInterval(sample, medianPace, now)
+	case byLearning:
+		l.estimates[i].ObserveInterval(sample, medianPace, now)
+	}
+}
+
+// curve returns what the daemons know of an engine.
+func (l *learner) curve(i int, medianPace float64, now clock.Instant) (c capacity.Curve) {
+	switch l.how {
+	case byCount:
+		return c
+	case byFixedWeights:
+		for b := range c {
+			c[b] = uint16(100 * l.permanent(i))
+		}
+		return c
+	case byLimit:
+		return limitCurve(l.limits[i])
+	}
+	return l.estimates[i].Curve(medianPace, now)
+}
+
+// play plays the workload three times with the given way to learn: the arrivals with one seed
+// depend on the choices.
+func (w *speedWorkload) play(how way) outcome {
 	var sum outcome
-	for seed := range uint64(3) { // the arrivals of one seed depend on the choices
-		clear(estimates)
-		told = nil
+	for seed := range uint64(3) {
+		engines := w.dataCentres * w.enginesEach
+		l := &learner{speedWorkload: w, how: how, rng: rand.New(rand.NewPCG(7, seed)), estimates: make([]capacity.Estimate, engines), limits: make([]float64, engines)}
+		for i := range l.limits {
+			l.limits[i] = simulatedSlots
+		}
+		w.workload.slowness, w.workload.learn = w.factor, l.learn
 		out := w.run(seed + 1)
 		sum.requests, sum.queued, sum.rejected = sum.requests+out.requests, sum.queued+out.queued, sum.rejected+out.rejected
 		sum.slow, sum.stretch = sum.slow+out.slow, sum.stretch+out.stretch
@@ -154,8 +203,8 @@
 		var outs []outcome
 		for how := byCount; how <= byLearning; how++ {
 			out := w.play(how)
-			t.Logf("%s, way %d: %d requests, %.1f%% slow, %.2f times as long, %d queued, %d rejected",
-				name, how, out.requests, 100*float64(out.slow)/float64(out.requests), out.stretch/float64(out.requests), out.queued, out.rejected)
+			t.Logf("%s, %s: %d requests, %.1f%% slow, %.2f times as long, %d queued, %d rejected",
+				name, wayNames[how], out.requests, 100*float64(out.slow)/float64(out.requests), out.stretch/float64(out.requests), out.queued, out.rejected)
 			outs = append(outs, out)
 		}
 		count, learned := outs[byCount], outs[byLearning]
