--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -131,6 +131,7 @@
 		c.logItem(r.itemState, r.engine, nil).Int("status", resp.Status).Msg("engine shuts down and gets no more items")
 	}
 	if resp.NotRun || resp.Misdirected {
+		resp.RecordRefusal(r.engine)
 		return notRun, nil
 	}
 	resp.RecordLoad(r.engine)
--- a/controller/loads/capacity.go
+++ b/controller/loads/capacity.go
@@ -124,9 +124,12 @@
 
 // updateService measures the engines of one service and publishes how slow they are.
 func (s *estimates) updateService(service string, engines []*blackboard.Engine, now clock.Instant) {
-	var paces, intervals []float64
-	for _, e := range engines {
-		paces = append(paces, s.of(e).Pace(now))
+	paces := make([]float64, len(engines))
+	estimates := make([]*engineEstimate, len(engines))
+	var intervals []float64
+	for i, e := range engines {
+		estimates[i] = s.of(e)
+		paces[i] = estimates[i].Pace(now)
 		if interval := e.Load.Health.MeanInterval(now); interval > 0 {
 			intervals = append(intervals, float64(interval))
 		}
@@ -134,19 +137,19 @@
 	median, _ := capacity.Median(paces)
 	s.median[service] = median
 	if usual, ok := capacity.Median(intervals); ok {
-		for _, e := range engines {
-			s.sample(e, usual, now)
+		for i, e := range engines {
+			estimates[i].measure(e, usual, median, now)
 		}
 	}
-	for _, e := range engines {
-		e.Load.SetSlowness(s.of(e).Curve(median, now))
+	for i, e := range engines {
+		e.Load.SetSlowness(estimates[i].Curve(median, now))
 	}
 }
 
-// sample records the inter-event interval that this daemon measured at the engine, unless no
-// event came since the last sample. The usual interval is that of the median engine.
-func (s *estimates) sample(e *blackboard.Engine, usual float64, now clock.Instant) {
-	estimate := s.of(e)
+// measure records the inter-event interval that this daemon measured at the engine, unless no
+// event came since the last sample. The usual interval and the median pace are those of the
+// median engine.
+func (estimate *engineEstimate) measure(e *blackboard.Engine, usual, medianPace float64, now clock.Instant) {
 	eventAt := e.Load.Health.LastEventAt()
 	interval := e.Load.Health.MeanInterval(now)
 	if interval <= 0 || eventAt == estimate.eventAt || now.Sub(eventAt) > sampleAge {
@@ -154,7 +157,7 @@
 	}
 	estimate.eventAt, estimate.sampledAt = eventAt, now
 	estimate.sample = capacity.Sample{Band: capacity.Band(e.RequestCount(), e.Slots), Percent: 100 * float64(interval) / usual}
-	estimate.ObserveInterval(estimate.sample, s.medianPace(e.Service), now)
+	estimate.ObserveInterval(estimate.sample, medianPace, now)
 }
 
 // ownStates returns what this daemon measured lately itself of engines that are compared by
--- a/relay/request.go
+++ b/relay/request.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// RecordRefusal records the load that the engine reported with a refusal. It does so only for
+// engines that report their pace: others are placed by what they report with responses.
+func (r *Response) RecordRefusal(engine *blackboard.Engine) {
+	if r.Pace > 0 && !r.Misdirected {
+		r.RecordLoad(engine)
+	}
+}
+
 // NoResponseError is the error of an attempt that got no response.
 type NoResponseError struct {
 	// Sent reports whether the engine may have received the request.
