Limits of engines by the routes' aim for the time between events

gapAimMs of the routes bounds, beside the engine's own speed, how many requests an engine is meant to take; an aim that the median engine misses is ignored.

--- a/controller/loads/capacity.go
+++ b/controller/loads/capacity.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/policy/capacity"
@@ -36,11 +37,13 @@
 	byEngine  map[*blackboard.EngineLoad]*engineEstimate
 	paceUntil map[string]clock.Instant // by service: until when its engines are compared
 	median    map[string]float64       // by service: median pace
+	usual     map[string]float64       // by service: last inter-event interval of the median engine, in ns
 }
 
 func newEstimates() estimates {
 	return estimates{
 		byEngine: make(map[*blackboard.EngineLoad]*engineEstimate), paceUntil: make(map[string]clock.Instant), median: make(map[string]float64),
+		usual: make(map[string]float64),
 	}
 }
 
@@ -91,7 +94,7 @@
 }
 
 // update measures all engines and publishes how slow they are.
-func (s *estimates) update(engines *blackboard.Engines, now clock.Instant) {
+func (s *estimates) update(engines *blackboard.Engines, cat *catalog.Catalog, now clock.Instant) {
 	if len(s.byEngine) > len(engines.All) {
 		s.forgetGone(engines)
 	}
@@ -104,11 +107,11 @@
 	}
 	for service := range services {
 		if s.isCompared(service, now) {
-			s.updateService(service, engines.OfService(service), now)
+			s.updateService(service, engines.OfService(service), cat, now)
 			continue
 		}
 		for _, e := range engines.OfService(service) {
-			e.Load.SetSlowness(capacity.Curve{})
+			e.Load.SetSlowness(capacity.Curve{}, 0)
 		}
 	}
 }
@@ -123,7 +126,7 @@
 }
 
 // updateService measures the engines of one service and publishes how slow they are.
-func (s *estimates) updateService(service string, engines []*blackboard.Engine, now clock.Instant) {
+func (s *estimates) updateService(service string, engines []*blackboard.Engine, cat *catalog.Catalog, now clock.Instant) {
 	paces := make([]float64, len(engines))
 	estimates := make([]*engineEstimate, len(engines))
 	var intervals []float64
@@ -137,15 +140,27 @@
 	median, _ := capacity.Median(paces)
 	s.median[service] = median
 	if usual, ok := capacity.Median(intervals); ok {
+		s.usual[service] = usual
 		for i, e := range engines {
 			estimates[i].measure(e, usual, median, now)
 		}
 	}
+	objective := s.objective(service, cat)
 	for i, e := range engines {
-		e.Load.SetSlowness(estimates[i].Curve(median, now))
+		curve := estimates[i].Curve(median, now)
+		e.Load.SetSlowness(curve, curve.Limit(e.Slots, objective))
 	}
 }
 
+// objective returns how many times slower than the median engine an engine of the service may
+// be, so that the time between events stays within the routes' aim, or 0 if that is not known.
+func (s *estimates) objective(service string, cat *catalog.Catalog) float64 {
+	if cat == nil || s.usual[service] <= 0 {
+		return 0
+	}
+	return float64(cat.GapAim(service)) / s.usual[service]
+}
+
 // measure records the inter-event interval that this daemon measured at the engine, unless no
 // event came since the last sample. The usual interval and the median pace are those of the
 // median engine.
--- a/controller/loads/sum.go
+++ b/controller/loads/sum.go
@@ -31,7 +31,7 @@
 	c.dropStale(roster, now)
 	t := c.totals(roster)
 	c.board.PeerReportAge.Store(int64(t.meanAge(roster)))
-	c.estimates.update(c.board.Engines.Value(), now)
+	c.estimates.update(c.board.Engines.Value(), c.board.Catalog.Value(), now)
 	c.applyFailures(t.failures, now)
 	engines := c.board.Engines.Value().All
 	for _, e := range engines {
--- a/policy/capacity/capacity.go
+++ b/policy/capacity/capacity.go
@@ -151,10 +151,16 @@
 }
 
 // Limit returns the number of requests that the engine can take before it becomes clearly
-// slower than with few: from 1 to slots.
-func (c Curve) Limit(slots int) int {
+// slower than with few, or misses the objective: from 1 to slots. The objective is how many
+// times slower than the median engine it may be, or 0 without one. One that the median engine
+// misses says nothing about this engine.
+func (c Curve) Limit(slots int, objective float64) int {
+	most := limitFactor * float64(c[0])
+	if objective >= 1 {
+		most = min(most, usual*objective)
+	}
 	for i := 1; i < Bands; i++ {
-		if float64(c[i]) > limitFactor*float64(c[0]) {
+		if float64(c[i]) > most {
 			return max(slots*i/Bands, 1)
 		}
 	}
--- a/policy/capacity/capacity_test.go
+++ b/policy/capacity/capacity_test.go
@@ -43,7 +43,7 @@
 			}
 		}
 		c := e.Curve(rapid.Float64Range(0, 1e5).Draw(t, "median"), now)
-		if limit := c.Limit(slots); limit < 1 || limit > slots || c.Pack() == 0 || Unpack(c.Pack()) != c {
+		if limit := c.Limit(slots, rapid.Float64Range(0, 10).Draw(t, "objective")); limit < 1 || limit > slots || c.Pack() == 0 || Unpack(c.Pack()) != c {
 			t.Fatalf("curve %v of %d slots has the limit %d", c, slots, limit)
 		}
 		last := 0.5
@@ -75,7 +75,7 @@
 	if s := slow.Curve(100, after).Slowness(1, 8); s > 1.25 {
 		t.Errorf("an engine counts as %.2f times slower after a pause", s)
 	}
-	if c := crowded.Curve(100, after); c.Limit(8) != 4 || c.Slowness(4, 8) > 1.1 || c.Slowness(5, 8) < 1.6 {
-		t.Errorf("curve %v, limit %d after a pause; want a limit of 4", c, c.Limit(8))
+	if c := crowded.Curve(100, after); c.Limit(8, 0) != 4 || c.Limit(8, 5) != 4 || c.Limit(8, 0.5) != 4 || (Curve{100, 130, 130, 130}).Limit(8, 1.2) != 2 || c.Slowness(4, 8) > 1.1 || c.Slowness(5, 8) < 1.6 {
+		t.Errorf("curve %v, limit %d after a pause; want a limit of 4", c, c.Limit(8, 0))
 	}
 }
--- a/policy/placement/capacity_workload_test.go
+++ b/policy/placement/capacity_workload_test.go
@@ -9,27 +9,31 @@
 	"github.com/baobablanding/baobablanding/policy/capacity"
 )
 
-// speed describes the engines of a workload of which every second is 1.3 times slower.
-type speed struct {
-	vm      func(engine int, at time.Duration) float64 // told as the pace, if that is told
-	crowded func(engine int) float64                   // factor from half of the slots on
-	noPace  bool
+// speeds describes the engines of a workload. Every second one is 1.3 times slower, and some are
+// 2.5 times slower at times, or as soon as more than half of their slots are taken.
+type speeds struct {
+	slow    func(engine int, at time.Duration) bool
+	crowded bool    // an engine is slow only if more than half of its slots are taken
+	noPace  bool    // the engines' pace does not tell that they are slow
 	maxSlow float64 // largest number of slow requests, compared with placement by count
 }
 
-func (s *speed) factor(engine int, at time.Duration, running int) float64 {
-	f := s.vm(engine, at) * (1 + 0.3*float64(engine%2))
-	if running > simulatedSlots/2 {
-		f *= s.crowded(engine)
+// vm returns the part of the factor that the pace tells, if anything does.
+func (s *speeds) vm(engine int, at time.Duration, running int) float64 {
+	if s.slow(engine, at) && (!s.crowded || running > simulatedSlots/2) {
+		return 2.5
 	}
-	return f
+	return 1
+}
+
+func (s *speeds) factor(engine int, at time.Duration, running int) float64 {
+	return s.vm(engine, at, running) * (1 + 0.3*float64(engine%2))
 }
 
 // learner returns a function that measures the engines each learnInterval and lets all daemons
 // know what was measured one interval before.
-func (s *speed) learner(engineCount int) func(time.Duration, []simulatedEngine, [][]*blackboard.Engine) {
-	rng := rand.New(rand.NewPCG(7, 7))
-	estimates := make([]capacity.Estimate, engineCount)
+func (s *speeds) learner(rng *rand.Rand) func(time.Duration, []simulatedEngine, [][]*blackboard.Engine) {
+	estimates := make([]capacity.Estimate, 16)
 	return func(at time.Duration, engines []simulatedEngine, views [][]*blackboard.Engine) {
 		now := simulationStart.Add(at)
 		var paces, intervals []float64
@@ -43,71 +47,52 @@
 		usual, measured := capacity.Median(intervals)
 		for i := range engines {
 			for _, view := range views {
-				view[i].Load.SetSlowness(estimates[i].Curve(pace, now))
+				view[i].Load.SetSlowness(estimates[i].Curve(pace, now), simulatedSlots)
 			}
-			if running := engines[i].running; running > 0 && measured {
-				if !s.noPace {
-					estimates[i].ObservePace(100*s.vm(i, at), now)
-				}
-				noise := 0.8 + 0.4*rng.Float64()
-				estimates[i].ObserveInterval(capacity.Sample{Band: capacity.Band(running, simulatedSlots), Percent: 100 * noise * s.factor(i, at, running) / usual}, pace, now)
+			running := engines[i].running
+			if running == 0 || !measured {
+				continue
 			}
+			if !s.noPace {
+				estimates[i].ObservePace(100*s.vm(i, at, running), now)
+			}
+			percent := 100 * (0.8 + 0.4*rng.Float64()) * s.factor(i, at, running) / usual
+			estimates[i].ObserveInterval(capacity.Sample{Band: capacity.Band(running, simulatedSlots), Percent: percent}, pace, now)
 		}
 	}
 }
 
-// play plays the workload with three seeds, since the arrivals depend on the choices.
-func (s *speed) play(rate float64, learns bool) (sum outcome) {
-	for seed := range uint64(3) {
-		w := workload{
-			dataCentres: 4, daemonsEach: 2, enginesEach: 4, rate: rate, runTime: 600 * time.Millisecond,
-			nearDelay: 20 * time.Millisecond, farDelay: 20 * time.Millisecond, length: 20 * time.Second, slowness: s.factor,
-		}
-		if learns {
-			w.learn = s.learner(w.dataCentres * w.enginesEach)
-		}
-		out := w.run(seed + 1)
-		sum.requests, sum.queued, sum.rejected = sum.requests+out.requests, sum.queued+out.queued, sum.rejected+out.rejected
-		sum.slow += out.slow
-	}
-	return sum
-}
-
-// slowWhile returns the factor of engines that are 2.5 times slower while the condition holds.
-func slowWhile(condition func(engine int, at time.Duration) bool) func(int, time.Duration) float64 {
-	return func(engine int, at time.Duration) float64 {
-		if condition(engine, at) {
-			return 2.5
-		}
-		return 1
-	}
-}
-
 // TestPlacementFollowsTheSpeedOfEngines guards against engines that get as many requests as
 // others although they are slower, and against learning that does worse than counting.
 func TestPlacementFollowsTheSpeedOfEngines(t *testing.T) {
-	steady := func(int) float64 { return 1 }
 	sixSeconds := func(at time.Duration) bool { return at > 6*time.Second && at < 12*time.Second }
-	slowThird := slowWhile(func(engine int, at time.Duration) bool { return engine%3 == 0 && sixSeconds(at) })
-	for name, s := range map[string]*speed{
-		"a slow third":               {slowThird, steady, false, 0.5},
-		"a slow third without pace":  {slowThird, steady, true, 0.5},
-		"the whole fleet slows down": {slowWhile(func(_ int, at time.Duration) bool { return sixSeconds(at) }), steady, false, 1.1},
-		"a speed that flips each second": {slowWhile(func(engine int, at time.Duration) bool {
-			return engine%4 == 0 && int(at.Seconds())%2 == 1
-		}), steady, false, 0.7},
-		"one slows from half its slots": {slowWhile(func(int, time.Duration) bool { return false }), func(engine int) float64 {
-			return 1 + 1.2*float64(max(1-engine%4, 0))
-		}, true, 0.6},
+	slowThird := func(engine int, at time.Duration) bool { return engine%3 == 0 && sixSeconds(at) }
+	for name, s := range map[string]*speeds{
+		"a slow third":                  {slowThird, false, false, 0.5},
+		"a slow third without pace":     {slowThird, false, true, 0.5},
+		"the whole fleet slows down":    {func(_ int, at time.Duration) bool { return sixSeconds(at) }, false, false, 1.1},
+		"speed that flips each second":  {func(engine int, at time.Duration) bool { return engine%4 == 0 && int(at.Seconds())%2 == 1 }, false, false, 0.7},
+		"one slows from half its slots": {func(engine int, _ time.Duration) bool { return engine%4 == 0 }, true, true, 0.6},
 	} {
-		rate := 90.0
-		if s.maxSlow > 1 {
-			rate = 50 // the slow fleet is nearly full
+		var outs [2]outcome // by count, as learned
+		for seed := range uint64(6) {
+			w := workload{
+				dataCentres: 4, daemonsEach: 2, enginesEach: 4, rate: 90, runTime: 600 * time.Millisecond,
+				nearDelay: 20 * time.Millisecond, farDelay: 20 * time.Millisecond, length: 20 * time.Second, slowness: s.factor,
+			}
+			if s.maxSlow > 1 {
+				w.rate = 50 // the slow fleet is nearly full
+			}
+			if seed%2 == 1 {
+				w.learn = s.learner(rand.New(rand.NewPCG(7, seed)))
+			}
+			out, sum := w.run(seed/2+1), &outs[seed%2]
+			sum.requests, sum.slow, sum.queued = sum.requests+out.requests, sum.slow+out.slow, sum.queued+out.queued+out.rejected
 		}
-		count, learned := s.play(rate, false), s.play(rate, true)
+		count, learned := outs[0], outs[1]
 		t.Logf("%s: %+v, by count %+v", name, learned, count)
-		if float64(learned.slow) > s.maxSlow*float64(count.slow) || learned.queued+learned.rejected > count.queued+count.rejected+learned.requests/100 {
-			t.Errorf("%s: %d requests are slow, %d queued or rejected; by count %d and %d", name, learned.slow, learned.queued+learned.rejected, count.slow, count.queued+count.rejected)
+		if float64(learned.slow) > s.maxSlow*float64(count.slow) || learned.queued > count.queued+learned.requests/100 {
+			t.Errorf("%s: %d requests are slow, %d queued or rejected; by count %d and %d", name, learned.slow, learned.queued, count.slow, count.queued)
 		}
 	}
 }
--- a/policy/placement/memory_test.go
+++ b/policy/placement/memory_test.go
@@ -20,33 +20,28 @@
 	}
 	for name, c := range map[string]struct {
 		own, peers, tokens int64
+		daemons            int
 		age                time.Duration
-		alone              bool
 		want, wantItem     bool
 	}{
-		"empty":                          {0, 0, memory, 0, false, true, true},
-		"never fits":                     {0, 0, memory + 1, 0, false, false, false},
-		"size unknown":                   {memory, memory, 0, 0, false, true, true},
-		"room for online only":           {30_000, 25_000, 10_000, 0, false, true, false},
-		"full":                           {40_000, 25_000, 10_000, 0, false, false, false},
-		"to the last token, alone":       {62_000, 0, 10_000, 0, true, true, false},
-		"to the last token, with others": {62_000, 0, 10_000, 0, false, false, false},
-		"others were not heard lately":   {30_000, 15_000, 10_000, time.Second, false, false, false},
+		"empty":                          {0, 0, memory, 2, 0, true, true},
+		"never fits":                     {0, 0, memory + 1, 2, 0, false, false},
+		"size unknown":                   {memory, memory, 0, 2, 0, true, true},
+		"room for online only":           {30_000, 25_000, 10_000, 2, 0, true, false},
+		"to the last token, alone":       {62_000, 0, 10_000, 1, 0, true, false},
+		"to the last token, with others": {62_000, 0, 10_000, 2, 0, false, false},
+		"others were not heard lately":   {30_000, 15_000, 10_000, 2, time.Second, false, false},
 	} {
 		e := newEngine("a", 1, 0)
 		e.Load.Tokens.Store(c.own)
 		e.Load.PeerTokens.Store(c.peers)
 		q := query()
 		q.Tokens, q.MemoryTokens, q.PeerReportAge = c.tokens, memory, c.age
-		if !c.alone {
-			q.Roster = &blackboard.Roster{Self: q.Roster.Self, Members: make([]blackboard.Peer, 2)}
-		}
+		q.Roster = &blackboard.Roster{Self: q.Roster.Self, Members: make([]blackboard.Peer, c.daemons)}
 		q.PreferredEngines = map[string]bool{"a": true}
-		if got := Choose([]*blackboard.Engine{e}, q) == e; got != c.want {
-			t.Errorf("%s: chosen for a request: %v", name, got)
-		}
-		if got := ChooseForBatch([]*blackboard.Engine{e}, &BatchQuery{Query: *q}) == e; got != c.wantItem {
-			t.Errorf("%s: chosen for an item: %v", name, got)
+		online, item := Choose([]*blackboard.Engine{e}, q) == e, ChooseForBatch([]*blackboard.Engine{e}, &BatchQuery{Query: *q}) == e
+		if online != c.want || item != c.wantItem {
+			t.Errorf("%s: chosen for a request: %v, for an item: %v", name, online, item)
 		}
 	}
 }
