--- a/blackboard/engines.go
+++ b/blackboard/engines.go
@@ -6,6 +6,7 @@
 
 	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/policy/capacity"
 )
 
 // Engines is an immutable set of registered engines with lookup tables.
@@ -77,6 +78,10 @@
 	return int(e.Load.Online.Load() + e.Load.PeerOnline.Load())
 }
 
+// PlacedTokens returns the tokens of the requests that this and the other daemons have at the
+// engine.
+func (e *Engine) PlacedTokens() int64 { return e.Load.Tokens.Load() + e.Load.PeerTokens.Load() }
+
 // EngineLoad is what was observed of one start of an engine. Its fields are atomics because
 // they are written on the request path.
 type EngineLoad struct {
@@ -86,9 +91,20 @@
 	// PeerOnline and PeerBatch are the numbers of requests that the other daemons
 	// have at the engine, by their last load reports.
 	PeerOnline, PeerBatch atomic.Int64
+	// Tokens is the number of tokens of the requests that this daemon has at the engine, and
+	// PeerTokens that of the other daemons' by their last load reports. A request counts with
+	// its whole prompt and the largest output that it may have. PeerTokens is 0 unless the
+	// configuration says how many tokens an engine holds.
+	Tokens, PeerTokens atomic.Int64
 	// OwnReport is the load that the engine reported to this daemon. PeerReport is the
 	// load that it reported to another daemon, which passed it on.
 	OwnReport, PeerReport EngineReport
+	// OwnPace is the pace in percent that the engine reported to this daemon.
+	OwnPace EngineReport
+	// slowness is what was learned of the engine's speed, packed, or 0 if it is not known.
+	slowness atomic.Uint64
+	// requestLimit is the number of requests that it can take, if slowness is known.
+	requestLimit atomic.Int64
 	// Health is derived from the engine's responses.
 	Health EngineHealth
 	// Leaving reports whether the engine told this daemon that it shuts down. That never
@@ -126,6 +142,30 @@
 	return r.requests.Load()
 }
 
+// SetSlowness records how slow the engine is compared with others of its service, and how many
+// requests it can take, or with the zero value that this is not known. controller/loads calls
+// it.
+func (l *EngineLoad) SetSlowness(c capacity.Curve, limit int) {
+	l.requestLimit.Store(int64(limit))
+	l.slowness.Store(c.Pack())
+}
+
+// Slowness returns how slow the engine is compared with others of its service. It reports
+// false if that is not known, as for all engines of a service that do not report their pace.
+func (l *EngineLoad) Slowness() (c capacity.Curve, known bool) {
+	packed := l.slowness.Load()
+	return capacity.Unpack(packed), packed != 0
+}
+
+// RequestLimit returns the number of requests that the engine can take before it becomes
+// slow, or its slots if that is not known.
+func (e *Engine) RequestLimit() int {
+	if _, known := e.Load.Slowness(); known {
+		return min(int(e.Load.requestLimit.Load()), e.Slots)
+	}
+	return e.Slots
+}
+
 // UseColdTurn uses up the turn and all earlier ones. It reports whether the turn was
 // unused. It may be called from several goroutines.
 func (l *EngineLoad) UseColdTurn(turn int64) bool {
--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -55,6 +55,10 @@
 	// AdmissionQueue lets all services use the admission queue. It is set before the daemon
 	// serves.
 	AdmissionQueue atomic.Bool
+	// PacedServices is the set of services of which an engine reported its pace lately. Only
+	// they use the admission queue, the learned speed and the memory of engines.
+	// controller/loads writes it.
+	PacedServices Section[map[string]bool]
 	// ServiceRuns holds what is known of the requests of each service that ran on this
 	// daemon, by the service's name. controller/admission writes it.
 	ServiceRuns Section[map[string]*ServiceRuns]
@@ -103,6 +107,9 @@
 	// NearPeersWithBatchDemand is the number of these in this daemon's data centre.
 	// controller/loads writes it.
 	NearPeersWithBatchDemand atomic.Int64
+	// PeerReportAge is the mean age, as a time.Duration, of what this daemon knows of the
+	// others' requests. controller/loads writes it.
+	PeerReportAge atomic.Int64
 	// PeerReadAt is the clock.Instant of the latest read of the configuration that
 	// another daemon reported, or 0. controller/loads writes it.
 	PeerReadAt atomic.Int64
--- a/blackboard/places.go
+++ b/blackboard/places.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/policy/admission"
 )
@@ -165,9 +166,10 @@
 func (s *ServiceRuns) UsualRun() time.Duration { return time.Duration(s.usual.Load()) }
 
 // UsesAdmissionQueue reports whether online requests of the service wait for a place when all
-// its engines are full, and whether its batch items give way to a rise of them. Engines that
-// report their pace are not told apart yet, so that only AdmissionQueue decides.
-func (b *EntryBoard) UsesAdmissionQueue(_ string) bool { return b.AdmissionQueue.Load() }
+// its engines are full, and whether its batch items give way to a rise of them.
+func (b *EntryBoard) UsesAdmissionQueue(service string) bool {
+	return b.AdmissionQueue.Load() || b.PacedServices.Value()[service]
+}
 
 // PlaceCapacity returns what the daemon knows of how fast places at the engines of the service
 // become free.
@@ -191,3 +193,12 @@
 	}
 	return capacity
 }
+
+// MemoryTokens returns the tokens that an engine of the service can hold, or 0 if that is not
+// known or does not limit placement.
+func (b *EntryBoard) MemoryTokens(service *catalog.Service) int64 {
+	if service == nil || !b.PacedServices.Value()[service.Name] {
+		return 0
+	}
+	return service.MemoryTokens
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -67,6 +67,9 @@
 	Open bool
 	// Resumable reports whether another engine may continue a broken stream.
 	Resumable bool
+	// GapAim is how long the time between two events of a stream should be at most, or 0 if the
+	// configuration does not say.
+	GapAim time.Duration
 	// Split lists the services that serve the route, with their weights.
 	Split []WeightedService
 	// Priority orders the requests that wait for an engine: 0 is the most urgent.
@@ -126,6 +129,9 @@
 	// ColdRate is the number of requests per second that an engine can handle in
 	// cold start, from all daemons together; 0 means no limit.
 	ColdRate float64
+	// MemoryTokens is the number of tokens that an engine can hold at once, of the prompts
+	// and outputs of its requests, or 0 if the configuration does not say.
+	MemoryTokens int64
 }
 
 // Workspace is a tenant with its keys and its rate limit.
@@ -214,6 +220,19 @@
 // Services returns all services by name. The caller must not modify the map.
 func (c *Catalog) Services() map[string]*Service { return c.services }
 
+// GapAim returns the shortest GapAim of the routes that the service serves, or 0 if none has
+// one.
+func (c *Catalog) GapAim(service string) time.Duration {
+	var shortest time.Duration
+	for _, r := range c.byName {
+		serves := slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+		if r.GapAim > 0 && serves && (shortest == 0 || r.GapAim < shortest) {
+			shortest = r.GapAim
+		}
+	}
+	return shortest
+}
+
 // WorkspaceByKey returns the workspace that owns the key, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.keys[key] }
 
--- a/controller/jobs/itemstate.go
+++ b/controller/jobs/itemstate.go
@@ -29,6 +29,7 @@
 	failedBy       map[string]clock.Instant // by engine: when it last failed the item
 	retryAt        clock.Instant            // when the item may run again after a failed attempt, or 0
 
+	tokens    int64 // that it takes in an engine's memory, or 0 if not known
 	gate      blackboard.SegmentGate
 	crashedAt clock.Instant // when an engine last crashed with the item, or 0
 
--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -69,6 +69,7 @@
 	timeout := itemIdleTimeout << min(s.emptyRuns, maxIdleDoublings)
 	return &itemRun{itemState: s, engine: engine, firstEventTimeout: timeout, message: relay.Message{
 		ID: item.ID, Host: host, Target: item.Path, Method: itemMethod, Header: header, Body: item.Body, Segments: s.gate.Segments,
+		Tokens: s.tokens,
 	}}
 }
 
@@ -83,13 +84,16 @@
 	s.job.running[s.index] = s
 	c.running++
 	engine.Load.Batch.Add(1)
+	engine.Load.Tokens.Add(s.tokens)
 	cancel := s.cancel
 	r := s.newRun(route.Host, engine)
 	r.tracker = rollout.NewView(c.board, engine.Service, s.startedAt).Track(engine, route.Name)
+	tokens := s.tokens
 	go func() {
 		outcome, err := c.send(ctx, r)
 		outcome = c.checkCrash(ctx, r, outcome, err)
 		engine.Load.Batch.Add(-1)
+		engine.Load.Tokens.Add(-tokens)
 		cancel()
 		c.post(context.WithoutCancel(ctx), func() {
 			r.countEmptyRun(outcome)
@@ -131,6 +135,7 @@
 		c.logItem(r.itemState, r.engine, nil).Int("status", resp.Status).Msg("engine shuts down and gets no more items")
 	}
 	if resp.NotRun || resp.Misdirected {
+		resp.RecordRefusal(r.engine)
 		return notRun, nil
 	}
 	resp.RecordLoad(r.engine)
@@ -233,6 +238,7 @@
 	switch outcome {
 	case completed:
 		engine.Load.Health.RecordSuccess()
+		engine.Load.Health.RecordGoodAnswer(s.startedAt)
 		c.runTime.Observe(s.earlierRuns)
 		o.finished = append(o.finished, s.result(job.Completed))
 		return
--- a/controller/jobs/schedule.go
+++ b/controller/jobs/schedule.go
@@ -29,6 +29,9 @@
 			continue // a draining engine finishes what it runs
 		}
 		count, reason := placement.ItemsToYield(e, c.trends[e.Service].reserve, rand.Float64()), "gives way to online requests"
+		if count == 0 && placement.PreemptForMemory(e, c.memoryTokens(e), rand.Float64()) {
+			count, reason = 1, "leaves memory to online requests"
+		}
 		if e.Load.Health.IsSlow(now) {
 			count, reason = int(e.Load.Batch.Load()), "leaves a slow engine"
 		}
@@ -39,6 +42,14 @@
 	}
 }
 
+// memoryTokens returns the tokens that the engine can hold, or 0 if that is not known.
+func (c *Controller) memoryTokens(e *blackboard.Engine) int64 {
+	if cat := c.board.Catalog.Value(); cat != nil {
+		return c.board.MemoryTokens(cat.Service(e.Service))
+	}
+	return 0
+}
+
 // preemptItems cancels up to n items that run at the engine. They wait for another engine
 // and continue there after their last event.
 func (c *Controller) preemptItems(e *blackboard.Engine, n int, reason string) {
@@ -151,7 +162,7 @@
 		Interval:                 schedulingInterval,
 		Reserve:                  c.trends[service.Name].reserve,
 	}
-	query.Tried = s.failedRecently
+	query.Tried, query.Tokens = s.failedRecently, s.tokens
 	engine := c.chooseEngine(s, service.Name, &query)
 	if engine == nil || !s.gate.EnterItem(c.board.Quarantine.Value(), c.board.ItemTrials.Value(), clock.Now()) {
 		return false
--- a/controller/loads/datacentre.go
+++ b/controller/loads/datacentre.go
@@ -98,6 +98,7 @@
 		admitted[name] += c.admittedNearby[name]
 	}
 	sum.Admitted = c.sums.admitted.changed(admitted)
+	sum.States, sum.Failing = c.estimates.ownStates(c.board.Engines.Value().All, now), c.ownFailing(now)
 	for _, r := range c.reports {
 		if r.DataCentre != nil || roster.DataCentreOf(r.From) != own.Name || now.Sub(r.receivedAt) > maxReportAge {
 			continue
@@ -113,8 +114,12 @@
 		for id, counts := range r.Engines {
 			sum.Engines[id] = addCounts(sum.Engines[id], counts)
 		}
+		sum.Tokens = addTokens(sum.Tokens, r.Tokens)
+		sum.States = addStates(sum.States, r.States)
+		sum.Failing = addFailing(sum.Failing, r.Failing, now.Sub(r.receivedAt))
 	}
 	sum.Rollouts = encodeRollouts(rollouts)
+	sum.States, sum.Failing = bounded(sum.States, maxStatesOfSum, c.sums.sent), bounded(sum.Failing, maxFailingOfSum, c.sums.sent)
 	return sum
 }
 
--- /dev/null
+++ b/controller/loads/failing_test.go
@@ -0,0 +1,71 @@
+package loads
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
+	"github.com/baobablanding/baobablanding/peer"
+	"github.com/baobablanding/baobablanding/policy/placement"
+)
+
+// TestFailedAnswersOfOthersCount guards against an engine that answers with failures and that
+// each daemon must meet itself; against one faulty daemon that takes engines out of use; and
+// against an engine that stays a last choice although it answers well again.
+func TestFailedAnswersOfOthersCount(t *testing.T) {
+	failed, well := peer.EngineFailures{Daemons: 1, FailedMs: 100}, peer.EngineFailures{Daemons: 1, FailedMs: 300, WellMs: 5}
+	for _, pace := range []int64{0, 100} {
+		c, engines := measured(pace, 40, 40, 40, 40, 40)
+		roster := *c.board.Roster.Value()
+		roster.Members = append(roster.Members, blackboard.Peer{Incarnation: "third"})
+		c.board.Roster.Publish(&roster)
+		for i, step := range []struct {
+			from    string
+			f       peer.EngineFailures
+			engines []string
+			want    bool
+		}{
+			{"other", peer.EngineFailures{Daemons: 1, FailedMs: failureReportTime.Milliseconds() + 1}, []string{"i-000"}, false},
+			{"third", failed, []string{"i-000"}, false},
+			{"other", failed, []string{"i-000"}, true},
+			{"other", peer.EngineFailures{Daemons: 1, FailedMs: 150, WellMs: 120}, []string{"i-000"}, false},
+			{"other", failed, []string{"i-000"}, true},
+			{"third", well, []string{"i-000"}, false},
+			{"other", failed, []string{"i-000", "i-001", "i-002"}, false},
+			{"third", failed, []string{"i-000", "i-001", "i-002"}, false}, // more than a third
+		} {
+			r := peer.LoadReport{From: step.from, Sequence: int64(i), Failing: make(map[string]peer.EngineFailures)}
+			for _, id := range step.engines {
+				r.Failing[id] = step.f
+			}
+			c.apply(r)
+			c.applyTotals(&roster)
+			if got := engines[0].Load.Health.FailsByPeers.Load(); got != (step.want && pace > 0) {
+				t.Errorf("pace %d, after report %d the engine fails: %v", pace, i, got)
+			}
+		}
+	}
+}
+
+// TestFailedAnswersAreToldWhileTheyMatter guards against reports that keep an engine out of use
+// after it answered well, and against good answers that nobody hears of.
+func TestFailedAnswersAreToldWhileTheyMatter(t *testing.T) {
+	c, engines := measured(100, 40, 40, 40, 40, 40)
+	told := func() peer.EngineFailures { return c.newReport(c.board.Roster.Value(), 1).Failing["i-000"] }
+	health, now := &engines[0].Load.Health, clock.Now()
+	health.RecordGoodAnswer(now.Add(-2 * time.Second))
+	before := told()
+	health.RecordFailedAnswer(now.Add(-time.Second))
+	failed := told()
+	c.failures["i-000"] = []placement.FailureClaim{{Daemons: 1, FailedAt: now}}
+	health.RecordGoodAnswer(now)
+	if after := told(); after.WellMs == 0 || before.Daemons != 0 || failed.Daemons != 1 || failed.FailedMs < 1000 || failed.WellMs != 0 || after.Daemons != 0 {
+		t.Errorf("told are %+v, after a failure %+v, after a good answer %+v", before, failed, after)
+	}
+	sum := addFailing(nil, map[string]peer.EngineFailures{"a": {Daemons: 1, FailedMs: 200}}, 50*time.Millisecond)
+	sum = addFailing(sum, map[string]peer.EngineFailures{"a": {Daemons: 1, FailedMs: 300, WellMs: 900}}, 0)
+	if want := (peer.EngineFailures{Daemons: 2, FailedMs: 250, WellMs: 900}); sum["a"] != want {
+		t.Errorf("added up: %+v, want %+v", sum["a"], want)
+	}
+}
--- a/controller/loads/loads.go
+++ b/controller/loads/loads.go
@@ -55,7 +55,10 @@
 	reports map[string]*report // by reportKey
 	// admitted holds the last known counts of admitted requests, by workspace, of the
 	// daemons that report their own and of those that report sums.
-	admitted map[admissionsOf]map[string]int64
+	admitted  map[admissionsOf]map[string]int64
+	estimates estimates
+	// failures holds what other daemons reported of failed answers, by engine.
+	failures map[string][]placement.FailureClaim
 	// admittedNearby counts the requests that other daemons of this data centre were seen
 	// to admit, by workspace.
 	admittedNearby map[string]int64
@@ -96,7 +99,7 @@
 		admittedHere: make(changedCounts), evidence: make(evidenceSender),
 		sums:    sumSender{admitted: make(changedCounts), evidence: make(evidenceSender)},
 		reports: make(map[string]*report), admitted: make(map[admissionsOf]map[string]int64),
-		admittedNearby: make(map[string]int64),
+		admittedNearby: make(map[string]int64), estimates: newEstimates(),
 	}
 }
 
@@ -167,6 +170,8 @@
 		old = new(report)
 	}
 	c.applyEngineCounts(old.Engines, r.Engines)
+	c.applyTokens(old.Tokens, r.Tokens)
+	c.estimates.applyStates(c.board.Engines.Value(), r.States, clock.Now())
 	series := admissionsOf{from: r.From, isSum: r.DataCentre != nil}
 	if c.admitted[series] == nil {
 		c.admitted[series] = make(map[string]int64)
@@ -247,6 +252,10 @@
 // newReport returns the load report of this daemon.
 func (c *Controller) newReport(roster *blackboard.Roster, sequence int64) peer.LoadReport {
 	r := c.ownCounts(roster, sequence)
+	c.mu.Lock()
+	r.States = bounded(c.estimates.ownStates(c.board.Engines.Value().All, clock.Now()), maxStatesOfDaemon, sequence)
+	r.Failing = bounded(c.ownFailing(clock.Now()), maxFailingOfDaemon, sequence)
+	c.mu.Unlock()
 	r.Admitted = c.admittedHere.changed(admittedCounts(c.board.RateLimiters.Value()))
 	self, now := roster.Self.Name, clock.Now()
 	r.Rollouts = encodeRollouts(c.ownRollouts())
@@ -278,6 +287,7 @@
 			r.Engines[e.ID] = counts
 		}
 	}
+	r.Tokens = c.ownTokens()
 	return r
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -145,6 +145,7 @@
 	reg.MustRegister(relay.NewRefusalCollector(e.board))
 	e.jobs = jobs.New(e.board, rows, jobs.Engines{
 		Client: engines, Crashes: relay.NewCrashDetector(e.board, engines, metrics, e.log), Segments: platform.ItemSegments,
+		Tokens: platform.ItemTokens,
 	}, self, e.log)
 	directories := directory.New(e.board, rows, platform.Decoder{}, e.log)
 	itemTrials := trials.New(e.board, rows, self.Incarnation, trials.NewMetrics(reg), e.log)
--- a/peer/loadreport.go
+++ b/peer/loadreport.go
@@ -21,6 +21,35 @@
 // fifth; its absence stands for 0.
 type EngineCounts [5]int64
 
+// Indexes of an EngineState.
+const (
+	// StatePace is the pace in percent that the engine reported, or 0 if it did not lately.
+	StatePace = iota
+	// StateBand is 1 plus the capacity.Band in which the sender measured the interval, or 0 if
+	// it did not lately.
+	StateBand
+	// StateInterval is the inter-event interval of the engine, in percent of that of the
+	// median engine.
+	StateInterval
+	engineStateNumbers
+)
+
+// MaxStatePercent bounds the percentages in an EngineState.
+const MaxStatePercent = 100_000
+
+// EngineState is what one daemon measured of an engine.
+type EngineState [engineStateNumbers]int64
+
+// EngineFailures tells what one daemon, or several of a data centre, had from an engine.
+type EngineFailures struct {
+	// Daemons is the number of daemons whose last answer from the engine was a failure.
+	Daemons int `json:"n,omitempty"`
+	// FailedMs is 1 plus the age in ms of the last of these answers, or 0 without one. WellMs
+	// is the same for the sending of the last request that the engine answered well.
+	FailedMs int64 `json:"failed,omitempty"`
+	WellMs   int64 `json:"well,omitempty"`
+}
+
 // LoadReport tells other entry daemons how many requests the sender has at each engine, or
 // how many the daemons of its data centre have there together.
 type LoadReport struct {
@@ -39,6 +68,17 @@
 	// Admitted holds the number of requests that the daemon has admitted since it
 	// started, by workspace. It holds only workspaces whose number changed recently.
 	Admitted map[string]int64 `json:"admitted,omitempty"`
+	// Tokens holds the tokens of the requests that the sender has at engines, by engine id,
+	// where the configuration says how many tokens an engine holds. Engines without any are
+	// left out. Daemons of earlier builds ignore it.
+	Tokens map[string]int64 `json:"tokens,omitempty"`
+	// States holds what the sender measured lately of engines that report their pace, by
+	// engine id. A report holds those of a bounded number of engines. Daemons of earlier
+	// builds ignore it.
+	States map[string]EngineState `json:"states,omitempty"`
+	// Failing holds, by engine id, what engines answered that answer with failures. A report
+	// holds a bounded number of them. Daemons of earlier builds ignore it.
+	Failing map[string]EngineFailures `json:"failing,omitempty"`
 	// DataCentre is set if the report is a sum. WaitingItems is then 0, ReadAgeMs the
 	// lowest age, the third of an engine's counts the largest and the fourth and fifth
 	// the numbers of daemons; Admitted counts what the sender knows to have been admitted.
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -33,14 +33,14 @@
 	return max(minPreemptionInterval, 2*delays.Far)
 }
 
-// leavingScore is the score of an engine without free slots that leaves according to other
-// daemons. It exceeds that of every other engine.
+// leavingScore is the score of an engine without free slots that leaves or fails according to
+// other daemons. It exceeds that of every other engine.
 const leavingScore = 1e6
 
 // ChooseForBatch returns the engine with the largest fraction of free slots that may
 // take an item, or nil. An engine is considered only with a probability, see mayFill, so
 // that the daemons on which items wait do not fill it together before they learn of each
-// other's items. Engines that leave according to other daemons come last.
+// other's items. Engines that leave or fail according to other daemons come last.
 func ChooseForBatch(engines []*blackboard.Engine, q *BatchQuery) *blackboard.Engine {
 	delays := q.Roster.LoadDelays()
 	return chooseBest(engines, &q.Query, func(e *blackboard.Engine) (float64, bool) {
@@ -48,17 +48,25 @@
 			return 0, false
 		}
 		spare := q.spareSlots(e)
-		if spare <= 0 || !q.mayFill(e, spare, delays) {
+		if spare <= 0 || !q.hasMemoryForItem(e) || !q.mayFill(e, spare, delays) {
 			return 0, false
 		}
-		free := float64(spare)/float64(e.Slots) + q.Random()/(2*float64(e.Slots))
-		if e.Load.LeavingByPeers.Load() {
+		free := float64(spare)/(float64(e.Slots)*slowness(e)) + q.Random()/(2*float64(e.Slots))
+		if isLastChoiceOfPeers(e) {
 			return leavingScore - free, true
 		}
 		return -free, true
 	})
 }
 
+// slowness returns how many times slower than others the engine is, or 1 if that is not known.
+func slowness(e *blackboard.Engine) float64 {
+	if curve, known := e.Load.Slowness(); known {
+		return curve.Slowness(e.RequestCount()+1, e.Slots)
+	}
+	return 1
+}
+
 const (
 	// lateReserve is how many slots of an engine items leave to online requests if the
 	// daemons report by sums: these learn late that an item must give way.
@@ -70,7 +78,7 @@
 // spareSlots returns the number of free slots of the engine that items may take. An engine
 // that is not preferred counts one less.
 func (q *BatchQuery) spareSlots(e *blackboard.Engine) int {
-	spare := e.Slots - e.RequestCount()
+	spare := e.RequestLimit() - e.RequestCount()
 	if !q.PreferredEngines[e.ID] {
 		spare--
 	}
@@ -106,7 +114,8 @@
 
 // ItemsToPreempt returns how many of its items at the engine this daemon preempts so
 // that online requests need not wait. Daemons with items at the engine together preempt
-// as many as it has requests beyond its slots, each in proportion to its items. The
+// as many as it has requests beyond its slots, or one more than it can take before it becomes
+// slow, each in proportion to its items. The
 // number is rounded up if random, a number in [0, 1), is below its fractional part.
 func ItemsToPreempt(e *blackboard.Engine, random float64) int { return ItemsToYield(e, 0, random) }
 
@@ -115,7 +124,7 @@
 func ItemsToYield(e *blackboard.Engine, reserve, random float64) int {
 	own := e.Load.Batch.Load()
 	all := own + e.Load.PeerBatch.Load()
-	over := float64(e.RequestCount()-e.Slots) + reserve
+	over := float64(e.RequestCount()-min(e.Slots, e.RequestLimit()+1)) + reserve
 	if own == 0 || over <= 0 {
 		return 0
 	}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -47,6 +47,11 @@
 	PreferredEngines map[string]bool
 	// MaxQueue is how many online requests beyond its slots an engine may have.
 	MaxQueue int
+	// Tokens is the number of tokens that the request takes in an engine's memory, and
+	// MemoryTokens that which an engine can hold. Either is 0 if it is not known.
+	Tokens, MemoryTokens int64
+	// PeerReportAge is the mean age of what this daemon knows of the others' requests.
+	PeerReportAge time.Duration
 }
 
 // NewQuery returns the query for a request to the service, as the board is now.
@@ -54,6 +59,7 @@
 	return Query{
 		Roster: board.Roster.Value(), Now: clock.Now(), StoreNow: board.StoreNow(), ColdRate: service.ColdRate,
 		Random: random, PreferredEngines: board.PreferredEngines.Value(),
+		MemoryTokens: board.MemoryTokens(service), PeerReportAge: time.Duration(board.PeerReportAge.Load()),
 	}
 }
 
@@ -152,26 +158,55 @@
 // mayTake reports whether the engine may take the request, apart from the rate limit
 // of a cold engine.
 func (q *Query) mayTake(e *blackboard.Engine) bool {
-	return q.allows(e) && e.IsUsable() && e.IsKept(q.Now) && (q.Tried == nil || !q.Tried(e)) && e.OnlineRequestCount() < e.Slots+q.MaxQueue
+	return q.allows(e) && e.IsUsable() && e.IsKept(q.Now) && (q.Tried == nil || !q.Tried(e)) && e.OnlineRequestCount() < e.Slots+q.MaxQueue && q.hasMemory(e)
 }
 
 // allows reports whether the request may use the engine by Allowed.
 func (q *Query) allows(e *blackboard.Engine) bool { return q.Allowed == nil || q.Allowed(e) }
 
-// isLastChoice reports whether the engine is ejected, or leaves according to other daemons.
+// isLastChoice reports whether the engine is ejected, or leaves or fails according to other
+// daemons.
 func (q *Query) isLastChoice(e *blackboard.Engine) bool {
-	return e.Load.Health.IsEjected(q.Now) || e.Load.LeavingByPeers.Load()
+	return e.Load.Health.IsEjected(q.Now) || isLastChoiceOfPeers(e)
+}
+
+// isLastChoiceOfPeers reports whether the engine leaves or fails according to other daemons.
+func isLastChoiceOfPeers(e *blackboard.Engine) bool {
+	return e.Load.LeavingByPeers.Load() || e.Load.Health.FailsByPeers.Load()
 }
 
 // ejectedScore is added to the score of an engine that is a last choice. It exceeds every
 // load.
 const ejectedScore = 1e6
 
-// score returns the load of the engine as a fraction of its slots, plus penalties.
+// load returns the load of the engine as a fraction of its slots. If the speed of the service's
+// engines is known, it is the load with one more request, times the square of the engine's
+// slowness: so much longer the request takes, and so much longer those that follow find the
+// engine taken.
+func load(e *blackboard.Engine) float64 {
+	n := e.RequestCount()
+	curve, known := e.Load.Slowness()
+	if !known {
+		return float64(n) / float64(e.Slots)
+	}
+	slowness := curve.Slowness(n+1, e.Slots)
+	load := float64(n+1) / float64(e.Slots) * slowness * slowness
+	if n >= e.Slots {
+		load += fullLoad
+	}
+	return load
+}
+
+// fullLoad is added to the load of an engine of known speed at which the request would wait for
+// a slot. It exceeds the load of each engine with a free slot, whose slowness is at most 4.
+const fullLoad = 20
+
+// score returns the load of the engine as a fraction of its slots, or of its memory if that is
+// more, plus penalties.
 // The lowest score is best. Engines that are missing from the store score worse than
 // all others but the last choices.
 func (q *Query) score(e *blackboard.Engine) float64 {
-	score := float64(e.RequestCount()) / float64(e.Slots)
+	score := max(load(e), q.memoryLoad(e))
 	if !q.PreferredEngines[e.ID] {
 		score += q.distancePenalty(e) / float64(e.Slots)
 	}
--- a/policy/placement/workload_test.go
+++ b/policy/placement/workload_test.go
@@ -20,17 +20,30 @@
 	runTime                               time.Duration // of a request
 	nearDelay, farDelay                   time.Duration // until other daemons learn of a request
 	length                                time.Duration
+
+	tokens        func(*rand.Rand) int64 // of a request; this and the functions below may be nil
+	memoryTokens  int64                  // of an engine
+	ignoresMemory bool
+	slowness      func(engine int, at time.Duration, running int) float64 // factor of runTime
+	fails         func(engine int, at time.Duration) bool                 // with its answer at once
+	// answered is called with each answer, and learn each learnInterval.
+	answered func(engine int, e *blackboard.Engine, sent, at time.Duration, failed bool)
+	learn    func(at time.Duration, engines []simulatedEngine, views [][]*blackboard.Engine)
 }
 
+const learnInterval = 100 * time.Millisecond
+
 // outcome is what the requests of a workload met.
 type outcome struct {
 	requests, queued, rejected, remote int
+	overfilled, slow, failed           int // without memory; at least twice as long as usual
 }
 
 // simulatedEngine is an engine as it is, not as the daemons know it.
 type simulatedEngine struct {
 	dataCentre int
 	running    int
+	tokens     int64
 }
 
 // simulatedEvent is a change of counters at a time.
@@ -54,6 +67,9 @@
 
 const simulatedSlots = 8
 
+// simulationStart is the instant of the time 0 of a workload.
+const simulationStart = clock.Instant(time.Hour)
+
 // run plays the workload with the given seed.
 func (w *workload) run(seed uint64) outcome {
 	rng := rand.New(rand.NewPCG(seed, 1))
@@ -70,7 +86,7 @@
 	var events simulatedEvents
 	after := func(at, d time.Duration, run func()) { heap.Push(&events, simulatedEvent{at + d, run}) }
 	// learn changes the counters of the other daemons when the news reaches them.
-	learn := func(at time.Duration, from, engine int, change int64) {
+	learn := func(at time.Duration, from, engine int, change, tokens int64) {
 		for _, far := range []bool{false, true} {
 			delay := w.nearDelay
 			if far {
@@ -80,18 +96,30 @@
 				for d := range views {
 					if isFar := d%w.dataCentres != from%w.dataCentres; d != from && isFar == far {
 						views[d][engine].Load.PeerOnline.Add(change)
+						views[d][engine].Load.PeerTokens.Add(change * tokens)
 					}
 				}
 			})
 		}
 	}
+	var learnt time.Duration
 	for at := time.Duration(0); at < w.length; at += time.Duration(rng.ExpFloat64() / w.rate * float64(time.Second)) {
 		for len(events) > 0 && events[0].at <= at {
 			heap.Pop(&events).(simulatedEvent).run()
 		}
+		for ; w.learn != nil && learnt <= at; learnt += learnInterval {
+			w.learn(learnt, engines, views)
+		}
 		d := rng.IntN(len(views))
-		q := &Query{Roster: rosters[d], Now: clock.Now(), Random: rng.Float64, PreferredEngines: preferred[d], MaxQueue: 1}
+		q := &Query{Roster: rosters[d], Now: simulationStart.Add(at), Random: rng.Float64, PreferredEngines: preferred[d], MaxQueue: 1}
 		out.requests++
+		var tokens int64
+		if w.tokens != nil {
+			tokens = w.tokens(rng)
+		}
+		if !w.ignoresMemory {
+			q.Tokens, q.MemoryTokens = tokens, w.memoryTokens
+		}
 		e := Choose(views[d], q)
 		if e == nil {
 			out.rejected++
@@ -99,19 +127,40 @@
 		}
 		var index int
 		_, _ = fmt.Sscanf(e.ID, "i-%d", &index)
+		if w.fails != nil && w.fails(index, at) {
+			out.failed++
+			w.answered(index, e, at, at, true)
+			continue
+		}
 		if engines[index].dataCentre != d%w.dataCentres {
 			out.remote++
 		}
 		if engines[index].running++; engines[index].running > simulatedSlots {
 			out.queued++
 		}
+		if engines[index].tokens += tokens; engines[index].tokens > w.memoryTokens {
+			out.overfilled++
+		}
 		e.Load.Online.Add(1)
-		learn(at, d, index, 1)
+		e.Load.Tokens.Add(tokens)
+		learn(at, d, index, 1, tokens)
 		end := time.Duration((0.5 + rng.Float64()) * float64(w.runTime))
+		if w.slowness != nil {
+			factor := w.slowness(index, at, engines[index].running)
+			end = time.Duration(float64(end) * factor)
+			if factor >= 2 {
+				out.slow++
+			}
+		}
 		after(at, end, func() {
+			if w.answered != nil {
+				w.answered(index, e, at, at+end, false)
+			}
 			engines[index].running--
+			engines[index].tokens -= tokens
 			e.Load.Online.Add(-1)
-			learn(at+end, d, index, -1)
+			e.Load.Tokens.Add(-tokens)
+			learn(at+end, d, index, -1, tokens)
 		})
 	}
 	return out
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -15,6 +15,8 @@
 // attempt is one sending of a request to an engine, until the response ends.
 type attempt struct {
 	engine   *blackboard.Engine
+	sentAt   clock.Instant
+	tokens   int64 // of the request, counted at the engine until end is called
 	ctx      context.Context
 	cancel   context.CancelFunc
 	sent     chan sendResult // has what came of a send in the background; nil without one
@@ -23,7 +25,6 @@
 	events   int             // received so far
 	written  bool            // the engine wrote a response to the request
 	board    *blackboard.EntryBoard
-	began    clock.Instant
 
 	tracker  rollout.Tracker // counts it for the comparison of versions
 	mustMove atomic.Bool     // it should go on at another version
@@ -37,7 +38,8 @@
 	r.engineOnline, r.engineBusy = engine.OnlineRequestCount(), engine.RequestCount()
 	r.markTried(engine.ID)
 	engine.Load.Online.Add(1)
-	a := &attempt{engine: engine, board: r.server.board, began: clock.Now()}
+	engine.Load.Tokens.Add(r.Tokens)
+	a := &attempt{engine: engine, board: r.server.board, tokens: r.Tokens, sentAt: clock.Now()}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	r.trackVersion(a)
 	return a
@@ -68,6 +70,7 @@
 		go closeLate(a.sent)
 	}
 	a.engine.Load.Online.Add(-1)
+	a.engine.Load.Tokens.Add(-a.tokens)
 	a.freePlace()
 }
 
@@ -130,6 +133,7 @@
 	}
 	if !failed {
 		a.engine.Load.Health.RecordSuccess()
+		a.engine.Load.Health.RecordGoodAnswer(a.sentAt)
 	}
 	return nil
 }
@@ -160,12 +164,16 @@
 		r.logAttempt(a.engine, "leaving").Int("status", response.Status).Msg("engine shuts down and gets no more requests")
 	}
 	if response.NotRun || response.Misdirected {
+		response.RecordRefusal(a.engine)
 		return r.rejected(a.engine, response)
 	}
 	r.runs++
 	response.RecordLoad(a.engine)
 	if response.failed() {
 		a.engine.Load.Health.RecordFailure(clock.Now())
+		if response.Class == Failed && r.runs == 1 { // a request that fails everywhere counts once
+			a.engine.Load.Health.RecordFailedAnswer(clock.Now())
+		}
 		r.logAttempt(a.engine, "failed").Int("status", response.Status).Bool("retry", r.mayRunAgain()).Msg("engine returned an error")
 	}
 	return nil
--- a/relay/place.go
+++ b/relay/place.go
@@ -178,6 +178,6 @@
 		return
 	}
 	if runs := a.board.ServiceRuns.Value()[a.engine.Service]; runs != nil {
-		runs.RecordRun(clock.Since(a.began))
+		runs.RecordRun(clock.Since(a.sentAt))
 	}
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -28,6 +28,9 @@
 	Body []byte
 	// Segments are the segments of the prompt that other requests may share.
 	Segments []blackboard.Segment
+	// Tokens is the number of tokens that the request takes in an engine's memory when its
+	// output is complete, or 0 if that is not known.
+	Tokens int64
 }
 
 // Request is a request from a caller.
@@ -120,6 +123,17 @@
 func (r *Response) RecordLoad(engine *blackboard.Engine) {
 	if r.Running >= 0 {
 		engine.Load.OwnReport.Record(int64(r.Running+r.Waiting), clock.Now())
+		if r.Pace > 0 {
+			engine.Load.OwnPace.Record(int64(r.Pace), clock.Now())
+		}
+	}
+}
+
+// RecordRefusal records the load that the engine reported with a refusal. It does so only for
+// engines that report their pace: others are placed by what they report with responses.
+func (r *Response) RecordRefusal(engine *blackboard.Engine) {
+	if r.Pace > 0 && !r.Misdirected {
+		r.RecordLoad(engine)
 	}
 }
 
--- a/relay/tried.go
+++ b/relay/tried.go
@@ -59,7 +59,7 @@
 		return nil
 	}
 	query := placement.NewQuery(r.server.board, service, r.server.random)
-	query.Tried, query.MaxQueue = r.avoids, maxQueuedOnline
+	query.Tried, query.MaxQueue, query.Tokens = r.avoids, maxQueuedOnline, r.Tokens
 	view := rollout.NewView(r.server.board, service.Name, query.Now)
 	isFirst := len(r.tried) == 0
 	if isFirst {
