--- a/controller/loads/capacity.go
+++ b/controller/loads/capacity.go
@@ -29,6 +29,8 @@
 	sample    capacity.Sample // the last one of this daemon
 	sampledAt clock.Instant
 	eventAt   clock.Instant // of the last event that was in a sample
+	isSlow    bool          // as it was logged last
+	loggedAt  clock.Instant
 }
 
 // estimates holds what the daemon learned of the engines' speed. It belongs to the holder of
@@ -152,6 +154,33 @@
 	}
 }
 
+const (
+	// slowFrom and slowUntil are how many times slower than the median engine an engine is when
+	// it is logged as slow, and as no longer slow.
+	slowFrom, slowUntil = 1.5, 1.2
+	// slowLogInterval is the shortest time between two such lines about one engine.
+	slowLogInterval = 10 * time.Second
+)
+
+// logSlow logs the engines that became slow with the requests that they have, or are no longer
+// slow. The caller holds c.mu.
+func (c *Controller) logSlow(engines *blackboard.Engines, now clock.Instant) {
+	for _, e := range engines.All {
+		curve, known := e.Load.Slowness()
+		estimate := c.estimates.byEngine[e.Load]
+		if !known || estimate == nil || estimate.loggedAt != 0 && now.Sub(estimate.loggedAt) < slowLogInterval {
+			continue
+		}
+		slowness := curve.Slowness(max(e.RequestCount(), 1), e.Slots)
+		if estimate.isSlow && slowness > slowUntil || !estimate.isSlow && slowness < slowFrom {
+			continue
+		}
+		estimate.isSlow, estimate.loggedAt = !estimate.isSlow, now
+		c.log.Info().Str("engine", e.ID).Bool("slow", estimate.isSlow).Float64("slowness", slowness).Float64("pace", estimate.Pace(now)).
+			Int("engine_busy", e.RequestCount()).Int("request_limit", e.RequestLimit()).Msg("engine became slower than others, or no longer is")
+	}
+}
+
 // objective returns how many times slower than the median engine an engine of the service may
 // be, so that the time between events stays within the routes' aim, or 0 if that is not known.
 func (s *estimates) objective(service string, cat *catalog.Catalog) float64 {
--- a/controller/loads/sum.go
+++ b/controller/loads/sum.go
@@ -32,6 +32,7 @@
 	t := c.totals(roster)
 	c.board.PeerReportAge.Store(int64(t.meanAge(roster)))
 	c.estimates.update(c.board.Engines.Value(), c.board.Catalog.Value(), now)
+	c.logSlow(c.board.Engines.Value(), now)
 	c.applyFailures(t.failures, now)
 	engines := c.board.Engines.Value().All
 	for _, e := range engines {
--- a/policy/placement/failing_test.go
+++ b/policy/placement/failing_test.go
@@ -21,22 +21,17 @@
 		}
 		claims, fresh := make(map[int][]FailureClaim), make(map[int][]FailureClaim) // by engine
 		w.answered = func(engine int, e *blackboard.Engine, sent, at time.Duration, failed bool) {
-			health := &e.Load.Health
 			if failed {
-				health.RecordFailure(simulationStart.Add(at))
+				e.Load.Health.RecordFailure(simulationStart.Add(at))
 				fresh[engine] = append(fresh[engine], FailureClaim{Daemons: 1, FailedAt: simulationStart.Add(at)})
-				return
-			}
-			health.RecordSuccess()
-			if len(claims[engine]) > 0 {
+			} else if len(claims[engine]) > 0 {
 				fresh[engine] = append(fresh[engine], FailureClaim{WellAt: simulationStart.Add(sent)})
 			}
 		}
 		w.learn = func(at time.Duration, _ []simulatedEngine, views [][]*blackboard.Engine) {
 			for engine, c := range claims {
-				fails := shares && FailsByAnswers(c, simulationStart.Add(at))
-				for d := range views {
-					views[d][engine].Load.Health.FailsByPeers.Store(fails)
+				for _, view := range views {
+					view[engine].Load.Health.FailsByPeers.Store(shares && FailsByAnswers(c, simulationStart.Add(at)))
 				}
 			}
 			for engine, c := range fresh {
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -177,7 +177,8 @@
 // load returns the load of the engine as a fraction of its slots. If the speed of the service's
 // engines is known, it is the load with one more request, times the square of the engine's
 // slowness: so much longer the request takes, and so much longer those that follow find the
-// engine taken.
+// engine taken. An engine that is nearly full counts as more loaded, since it may be full
+// before this daemon learns of the others' requests.
 func load(e *blackboard.Engine) float64 {
 	n := e.RequestCount()
 	curve, known := e.Load.Slowness()
@@ -185,7 +186,8 @@
 		return float64(n) / float64(e.Slots)
 	}
 	slowness := curve.Slowness(n+1, e.Slots)
-	load := float64(n+1) / float64(e.Slots) * slowness * slowness
+	taken := float64(n+1) / float64(e.Slots)
+	load := taken*slowness*slowness + taken*taken*taken*taken
 	if n >= e.Slots {
 		load += fullLoad
 	}
