--- a/policy/placement/memory.go
+++ b/policy/placement/memory.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -53,6 +54,17 @@
 	return int64(min(float64(age)/float64(memoryTurnover), maxMemoryMargin) * float64(q.MemoryTokens))
 }
 
+// WouldTakeWithMemory reports whether one of the engines would take the request if it had memory
+// for it.
+func WouldTakeWithMemory(engines []*blackboard.Engine, q *Query) bool {
+	if q.MemoryTokens <= 0 || q.Tokens <= 0 {
+		return false
+	}
+	without := *q
+	without.Tokens = 0
+	return slices.ContainsFunc(engines, without.mayTake)
+}
+
 // hasMemoryForItem reports whether the engine's memory holds the item and, beside it, one
 // more online request of the size that the engine is made for.
 func (q *Query) hasMemoryForItem(e *blackboard.Engine) bool {
--- a/policy/placement/memory_test.go
+++ b/policy/placement/memory_test.go
@@ -40,7 +40,7 @@
 		q.Roster = &blackboard.Roster{Self: q.Roster.Self, Members: make([]blackboard.Peer, c.daemons)}
 		q.PreferredEngines = map[string]bool{"a": true}
 		online, item := Choose([]*blackboard.Engine{e}, q) == e, ChooseForBatch([]*blackboard.Engine{e}, &BatchQuery{Query: *q}) == e
-		if online != c.want || item != c.wantItem {
+		if online != c.want || item != c.wantItem || !online && !WouldTakeWithMemory([]*blackboard.Engine{e}, q) {
 			t.Errorf("%s: chosen for a request: %v, for an item: %v", name, online, item)
 		}
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -18,6 +18,7 @@
 	incomplete *prometheus.CounterVec // by result
 	retries    prometheus.Counter
 	crashes    prometheus.Counter
+	noMemory   prometheus.Counter
 	admission  prometheus.Histogram // seconds
 	firstEvent prometheus.Histogram // seconds
 }
@@ -42,6 +43,10 @@
 			Name: "baobab_relay_engine_crashes_total",
 			Help: "Requests and batch items, with a prompt segment not known to be sound, whose engine crashed before it wrote a response.",
 		}),
+		noMemory: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "baobab_relay_without_memory_total",
+			Help: "Times that a request found engines with slots and none with memory for it.",
+		}),
 		admission: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "baobab_relay_admission_seconds",
 			Help:    "Time from the arrival of a request until its workspace's rate admitted it.",
@@ -53,7 +58,7 @@
 			Buckets: []float64{0.03, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1, 2, 5},
 		}),
 	}
-	reg.MustRegister(m.requests, m.incomplete, m.retries, m.crashes, m.admission, m.firstEvent)
+	reg.MustRegister(m.requests, m.incomplete, m.retries, m.crashes, m.noMemory, m.admission, m.firstEvent)
 	return m
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,6 +34,7 @@
 	log          *log.Logger
 	metrics      *Metrics
 	random       func() float64
+	memoryLog    memoryLog
 }
 
 // NewServer returns the server of a daemon in the data centre. The server uses the
--- a/relay/tried.go
+++ b/relay/tried.go
@@ -59,7 +59,11 @@
 	}
 	query := placement.NewQuery(r.server.board, service, r.server.random)
 	query.Tried, query.MaxQueue, query.Tokens = r.avoids, maxQueuedOnline, r.Tokens
-	return placement.Choose(engines, &query)
+	engine := placement.Choose(engines, &query)
+	if engine == nil {
+		r.recordNoMemory(engines, &query)
+	}
+	return engine
 }
 
 // avoids reports whether the engine rejected or failed the request lately.
