--- a/relay/tried.go
+++ b/relay/tried.go
@@ -65,7 +65,11 @@
 	if isFirst {
 		view.Admit()
 	}
-	return view.Choose(&query, engines, isFirst, func() *blackboard.Engine { return placement.Choose(engines, &query) })
+	engine := view.Choose(&query, engines, isFirst, func() *blackboard.Engine { return placement.Choose(engines, &query) })
+	if engine == nil {
+		r.recordNoMemory(engines, &query)
+	}
+	return engine
 }
 
 // avoids reports whether the engine rejected or failed the request lately.
