Roll-outs: claims without the time of the order wait; streams that move are checked

Cause: a daemon that started after the order takes it for younger than it is. The test of a good version did not show that streams move.

--- a/controller/rollouts/owner.go
+++ b/controller/rollouts/owner.go
@@ -106,12 +106,14 @@
 	if s.orderSeen != order.Version {
 		s.orderSeen, s.firstSeen = order.Version, now
 	}
-	if now.Sub(s.firstSeen) < c.rankDelay(service, "", claimDelay) {
-		return
-	}
+	delay := c.rankDelay(service, "", claimDelay)
 	started := order.NotBefore
-	if started == 0 {
+	if started == 0 { // another daemon may know better when the order was written
 		started = order.SeenAt
+		delay += claimDelay
+	}
+	if now.Sub(s.firstSeen) < delay {
+		return
 	}
 	next := record{
 		Order: order.Version, Seen: order.Version, To: order.To, InUse: s.inUse, DurationMs: order.Duration.Milliseconds(),
--- a/entrytest/rollout_test.go
+++ b/entrytest/rollout_test.go
@@ -146,13 +146,24 @@
 	if n := count(f.old); n != atEnd {
 		t.Errorf("old engines got %d requests after the end", n-atEnd)
 	}
+	moved := 0
+	for _, e := range f.new {
+		for i := range e.count() {
+			if e.request(i).Header.Get("Last-Event-Id") != "" {
+				moved++
+			}
+		}
+	}
+	if moved == 0 {
+		t.Error("no stream went on at a new engine")
+	}
 	if n := f.failed.Load(); n > 0 {
 		t.Errorf("%d of %d requests failed", n, f.sent.Load())
 	}
 	for i := range 8 {
 		f.daemons[i%3].checkCompletes(t, fmt.Sprint("job-", i), 4, fullOutput)
 	}
-	t.Logf("completed after %v; old %d, new %d", took, atEnd, count(f.new))
+	t.Logf("completed after %v; old %d, new %d, of these %d that moved", took, atEnd, count(f.new), moved)
 }
 
 // TestFailingEnginesOfEachVersion guards against a good version that is reverted because of an
