Roll-outs: less work in each tick

Cause: at 1,800 engines in 8 services a tick took 177 us, ten times a second. Change: the version in use is found again only when the engines change. A daemon without the store's clock decides nothing.

--- a/controller/rollouts/owner.go
+++ b/controller/rollouts/owner.go
@@ -66,7 +66,7 @@
 		return
 	}
 	orders := c.board.RolloutOrders.Value()
-	if now.Sub(orders.ReadAt) > maxOrdersAge {
+	if now.Sub(orders.ReadAt) > maxOrdersAge || c.board.StoreNow() == 0 {
 		return
 	}
 	order := orders.ByService[service]
--- a/controller/rollouts/rollouts.go
+++ b/controller/rollouts/rollouts.go
@@ -60,7 +60,9 @@
 	log    *log.Logger
 
 	services map[string]*serviceState
-	events   chan func() // run by the goroutine of Run
+	// enginesSeen is the version of the section Engines whose services were added.
+	enginesSeen uint64
+	events      chan func() // run by the goroutine of Run
 
 	mu      sync.Mutex // guards the fields below
 	records map[string]versionedRecord
--- a/controller/rollouts/service.go
+++ b/controller/rollouts/service.go
@@ -19,14 +19,26 @@
 	hasSlack bool                      // the daemon ran before the order was written
 	badSince clock.Instant             // since when the known answers show a bad version, or 0
 
+	inUseOf inUseQuery // for which inUse was last found by the engines
+
 	ownership
 }
 
+// inUseQuery is what the version in use depends on if no roll-out tells it.
+type inUseQuery struct {
+	engines        uint64 // version of the section Engines
+	last, excluded string
+}
+
 // updateServices updates the state of each service with engines, an order or a record.
 func (c *Controller) updateServices(now clock.Instant) {
-	engines, orders := c.board.Engines.Value(), c.board.RolloutOrders.Value()
-	for _, e := range engines.All {
-		c.addService(e.Service)
+	snap, orders := c.board.Engines.Load(), c.board.RolloutOrders.Value()
+	engines := snap.Value
+	if c.enginesSeen != snap.Version {
+		c.enginesSeen = snap.Version
+		for _, e := range engines.All {
+			c.addService(e.Service)
+		}
 	}
 	for service := range orders.ByService {
 		c.addService(service)
@@ -39,7 +51,7 @@
 	}
 	for service, s := range c.services {
 		r, ok := records[service]
-		s.update(engines.OfService(service), orders.ByService[service], r, ok, now)
+		s.update(snap.Version, engines.OfService(service), orders.ByService[service], r, ok, now)
 		if s.counts != nil {
 			c.updateCounts(service, s, now)
 		}
@@ -53,25 +65,33 @@
 }
 
 // update updates the order and the version in use.
-func (s *serviceState) update(engines []*blackboard.Engine, order *blackboard.RolloutOrder, r versionedRecord, hasRecord bool, now clock.Instant) {
+func (s *serviceState) update(version uint64, engines []*blackboard.Engine, order *blackboard.RolloutOrder, r versionedRecord, hasRecord bool, now clock.Instant) {
 	s.observeRecord(r, now)
 	switch {
 	case hasRecord && !r.isFinal():
-		s.inUse = r.InUse
+		s.inUse, s.inUseOf = r.InUse, inUseQuery{}
 		s.setOrder(r.Order, order)
 	case order != nil && !(hasRecord && r.isOf(order)):
-		s.inUse = rollout.VersionInUse(engines, s.lastInUse(r, hasRecord), order.To)
+		s.findInUse(inUseQuery{version, s.lastInUse(r, hasRecord), order.To}, engines)
 		s.setOrder(order.Version, order)
 	default:
 		excluded := ""
 		if r.State == stateReverted {
 			excluded = r.To
 		}
-		s.inUse = rollout.VersionInUse(engines, s.lastInUse(r, hasRecord), excluded)
+		s.findInUse(inUseQuery{version, s.lastInUse(r, hasRecord), excluded}, engines)
 		s.setOrder(0, nil)
 	}
 }
 
+// findInUse finds the version in use by the engines, unless nothing changed.
+func (s *serviceState) findInUse(q inUseQuery, engines []*blackboard.Engine) {
+	if s.inUseOf != q {
+		s.inUseOf = q
+		s.inUse = rollout.VersionInUse(engines, q.last, q.excluded)
+	}
+}
+
 // lastInUse returns the version that was in use last.
 func (s *serviceState) lastInUse(r versionedRecord, hasRecord bool) string {
 	if hasRecord {
