Roll-outs: the validity is never newer than the stage it belongs to

Cause: a tick published the versions of an older read and then the validity of a newer one; a daemon that had just started sent a request to an old engine after 'completed' (1 of 1,988, in a test that restarts all daemons). Change: the validity is found before the versions and read before them.

--- a/controller/rollouts/fleet_test.go
+++ b/controller/rollouts/fleet_test.go
@@ -164,15 +164,36 @@
 	go d.serve(ctx)
 }
 
+// restart kills all daemons and starts others on their VMs.
+func (f *simulatedFleet) restart() {
+	var members []blackboard.Peer
+	for i, d := range f.daemons {
+		d.isKilled.Store(true)
+		d.cancel()
+		members = append(members, blackboard.Peer{Name: fmt.Sprint("vm", i), Incarnation: fmt.Sprint("vm", i, "/2"), DataCentre: "dc"})
+	}
+	daemons := make([]*simulatedDaemon, len(members))
+	for i := range members {
+		daemons[i] = f.newDaemon(members, i)
+	}
+	f.mu.Lock()
+	f.daemons = daemons
+	f.mu.Unlock()
+	for _, d := range daemons {
+		d.run()
+	}
+}
+
 // pump copies from board to board what other controllers would.
 func (f *simulatedFleet) pump() {
 	for f.ctx.Err() == nil {
 		now := clock.Now()
-		for _, d := range f.daemons {
+		daemons := f.running()
+		for _, d := range daemons {
 			d.board.SyncStoreClock(now.Sub(f.start), now)
 			f.readOrders(d, now)
 		}
-		f.exchange(now)
+		f.exchange(daemons, now)
 		time.Sleep(30 * time.Millisecond)
 	}
 }
@@ -197,19 +218,26 @@
 	d.board.RolloutOrders.Publish(orders)
 }
 
+// running returns the daemons that run.
+func (f *simulatedFleet) running() []*simulatedDaemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.daemons
+}
+
 // exchange gives each daemon the totals of the others that it hears.
-func (f *simulatedFleet) exchange(now clock.Instant) {
+func (f *simulatedFleet) exchange(daemons []*simulatedDaemon, now clock.Instant) {
 	own := make(map[*simulatedDaemon]*blackboard.RolloutTotals)
-	for _, d := range f.daemons {
+	for _, d := range daemons {
 		if v := d.board.Rollouts.Value().ByService["svc"]; v != nil && v.Counts != nil {
 			totals := rollout.OwnTotals(v, d.board.Engines.Value().OfService("svc"))
 			own[d] = &totals
 		}
 	}
-	for _, d := range f.daemons {
+	for _, d := range daemons {
 		heard, readAt := int64(1), clock.Instant(0)
 		var sum *blackboard.RolloutTotals
-		for _, p := range f.daemons {
+		for _, p := range daemons {
 			if p == d || p.isCutOff.Load() || p.isKilled.Load() || d.isCutOff.Load() {
 				continue
 			}
@@ -236,7 +264,7 @@
 	f := d.fleet
 	for i := 0; ctx.Err() == nil; i++ {
 		d.request([]string{"a", "b"}[i%2])
-		time.Sleep(time.Duration(len(f.daemons)) * 6 * time.Millisecond)
+		time.Sleep(time.Duration(len(f.running())) * 6 * time.Millisecond)
 	}
 }
 
--- a/controller/rollouts/rollouts.go
+++ b/controller/rollouts/rollouts.go
@@ -216,9 +216,10 @@
 
 // tick looks at the board once.
 func (c *Controller) tick(ctx context.Context, now clock.Instant) {
+	until := c.validUntil(now) // before the state, which may be newer but not older
 	c.updateServices(now)
 	c.publish()
-	c.board.RolloutsValidUntil.Store(int64(c.validUntil(now)))
+	c.board.RolloutsValidUntil.Store(int64(until))
 	if !c.board.Roster.Value().Loaded || !c.hasRead() {
 		return
 	}
--- a/controller/rollouts/rollouts_test.go
+++ b/controller/rollouts/rollouts_test.go
@@ -1,6 +1,7 @@
 package rollouts
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -34,6 +35,28 @@
 	}
 }
 
+// TestAllDaemonsRestart guards against requests to old engines by daemons that have just read
+// the stage, and against a good version that is reverted because nobody knows its answers.
+func TestAllDaemonsRestart(t *testing.T) {
+	t.Parallel()
+	for i := range 8 {
+		state, pause := []string{stateCanary, stateSwitch}[i%2], time.Duration(100+i/2*600)*time.Millisecond
+		t.Run(fmt.Sprint(state, " ", pause), func(t *testing.T) {
+			t.Parallel()
+			f := newSimulatedFleet(t, 4)
+			time.Sleep(time.Second)
+			f.command(7, "v2", orderTime)
+			f.owner(state)
+			time.Sleep(pause)
+			f.restart()
+			if finals := f.await(1, orderTime); !slices.Equal(finals, []string{stateCompleted}) {
+				t.Errorf("final states %v", finals)
+			}
+			f.checkBounds(false)
+		})
+	}
+}
+
 // TestStoreIsUnavailableAtEachStage guards against a version in use that changes without the
 // store, two final states, and requests that are refused while nobody can change the stage.
 func TestStoreIsUnavailableAtEachStage(t *testing.T) {
--- a/policy/rollout/view.go
+++ b/policy/rollout/view.go
@@ -34,6 +34,7 @@
 // NewView returns the view of the service at the instant now, or nil if the settings do not
 // ask for roll-outs: all engines may be used then.
 func NewView(board *blackboard.EntryBoard, service string, now clock.Instant) *View {
+	validUntil := clock.Instant(board.RolloutsValidUntil.Load()) // first, since it must not be newer than the versions
 	rollouts := board.Rollouts.Value()
 	if rollouts == nil {
 		return nil
@@ -42,7 +43,7 @@
 	if versions == nil {
 		versions = none
 	}
-	return &View{versions: versions, validUntil: clock.Instant(board.RolloutsValidUntil.Load()), now: now}
+	return &View{versions: versions, validUntil: validUntil, now: now}
 }
 
 // IsUsed reports whether requests outside the canary share may be sent to the engine.
