Roll-outs: log lines for lost validity, bad answers, moved and cut requests

Cause: operators see no reason when a daemon uses no engine, or where the bad answers were. A daemon that has not read the engines could claim an order without knowing the version in use. Change: a line for each of these; such a daemon leaves the claim to others for 2.5 s.

--- a/controller/rollouts/owner.go
+++ b/controller/rollouts/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
@@ -36,6 +37,9 @@
 	// decides. It is no longer than leaseTime, so that a daemon that takes a roll-out over has
 	// read its order.
 	maxOrdersAge = 1800 * time.Millisecond
+	// enginesDelay is how long a daemon that knows no engine of the version in use leaves the
+	// claim to others.
+	enginesDelay = 2500 * time.Millisecond
 	// writeRetryDelay is the time after a transaction that failed.
 	writeRetryDelay = 250 * time.Millisecond
 	// writeTimeout bounds a transaction.
@@ -112,6 +116,9 @@
 		started = order.SeenAt
 		delay += claimDelay
 	}
+	if !c.hasEngine(service, s.inUse) { // the engines may not have been read yet
+		delay = max(delay, enginesDelay)
+	}
 	if now.Sub(s.firstSeen) < delay {
 		return
 	}
@@ -124,6 +131,11 @@
 	c.write(ctx, service, s, old.version, next, &status, "roll-out begins", "")
 }
 
+// hasEngine reports whether an engine of the version is registered.
+func (c *Controller) hasEngine(service, version string) bool {
+	return slices.ContainsFunc(c.board.Engines.Value().OfService(service), func(e *blackboard.Engine) bool { return e.Version == version })
+}
+
 // takeOverIfDue makes this daemon the owner of a roll-out whose row did not change for
 // leaseTime, while this daemon read it.
 func (c *Controller) takeOverIfDue(ctx context.Context, service string, s *serviceState, r versionedRecord, now clock.Instant) {
--- a/controller/rollouts/rollouts.go
+++ b/controller/rollouts/rollouts.go
@@ -62,6 +62,7 @@
 	services map[string]*serviceState
 	// enginesSeen is the version of the section Engines whose services were added.
 	enginesSeen uint64
+	isValid     bool        // the versions might be used at the last tick
 	events      chan func() // run by the goroutine of Run
 
 	mu      sync.Mutex // guards the fields below
@@ -219,6 +220,7 @@
 	until := c.validUntil(now) // before the state, which may be newer but not older
 	c.updateServices(now)
 	c.publish()
+	c.logValidity(until, now)
 	c.board.RolloutsValidUntil.Store(int64(until))
 	if !c.board.Roster.Value().Loaded || !c.hasRead() {
 		return
@@ -228,6 +230,22 @@
 	}
 }
 
+// logValidity logs when this daemon may use no engine any more, and when it may again.
+func (c *Controller) logValidity(until, now clock.Instant) {
+	valid := until > now
+	if valid == c.isValid {
+		return
+	}
+	c.isValid = valid
+	readAt := c.board.RolloutOrders.Value().ReadAt
+	if valid {
+		c.log.Info().Dur("reading_age", now.Sub(readAt)).Msg("versions of engines are known and may be used")
+		return
+	}
+	c.log.Warn().Dur("reading_age", now.Sub(readAt)).Int64("reporting_daemons", c.board.ReportingDaemons.Load()).
+		Msg("versions of engines may have changed unnoticed; no engine is used")
+}
+
 // hasRead reports whether both tables were read.
 func (c *Controller) hasRead() bool {
 	c.mu.Lock()
--- a/controller/rollouts/service.go
+++ b/controller/rollouts/service.go
@@ -142,9 +142,21 @@
 		s.badSince = 0
 	case s.badSince == 0:
 		s.badSince = now
+		c.logBad(service, &evidence)
 	}
 }
 
+// logBad logs that this daemon finds the new version bad.
+func (c *Controller) logBad(service string, evidence *rollout.Evidence) {
+	old, new := evidence.Total(blackboard.OldVersion), evidence.Total(blackboard.NewVersion)
+	line := c.log.Warn().Str("service", service).Int64("old_answered", old[1]).Int64("old_bad", old[2]).
+		Int64("new_answered", new[1]).Int64("new_bad", new[2]).Int("daemons_with_bad", evidence.DaemonsWithBad)
+	for name, route := range evidence.Routes {
+		line = line.Int64("new_bad_on_"+name, route[blackboard.NewVersion][2])
+	}
+	line.Msg("new version of the engines has more bad answers than the old one")
+}
+
 // countNew returns the number of usable engines of the version that the order of the service
 // names.
 func (c *Controller) countNew(service string) int {
--- a/relay/rollouts.go
+++ b/relay/rollouts.go
@@ -74,12 +74,16 @@
 		return nil
 	}
 	a.moved = true
+	r.logAttempt(a.engine, "moved").Int64("event", r.lastEvent).Msg("request goes on at another version of the engine")
 	return a.incomplete(errMoved)
 }
 
 // recordVersion counts how the attempt ended. err is its error, and silent reports whether
 // another engine took the request over since this one sent no event.
 func (r *activeRequest) recordVersion(ctx context.Context, a *attempt, err error, silent bool) {
+	if a.cut.Load() {
+		r.logAttempt(a.engine, "cut").Int64("event", r.lastEvent).Msg("request was cut, since its engine may be stopped")
+	}
 	a.tracker.End(r.versionOutcome(ctx, a, err, silent), clock.Now())
 }
 
