--- a/controller/rollouts/rollouts.go
+++ b/controller/rollouts/rollouts.go
@@ -60,7 +60,10 @@
 	log    *log.Logger
 
 	services map[string]*serviceState
-	events   chan func() // run by the goroutine of Run
+	// enginesSeen is the version of the section Engines whose services were added.
+	enginesSeen uint64
+	isValid     bool        // the versions might be used at the last tick
+	events      chan func() // run by the goroutine of Run
 
 	mu      sync.Mutex // guards the fields below
 	records map[string]versionedRecord
@@ -214,9 +217,11 @@
 
 // tick looks at the board once.
 func (c *Controller) tick(ctx context.Context, now clock.Instant) {
+	until := c.validUntil(now) // before the state, which may be newer but not older
 	c.updateServices(now)
 	c.publish()
-	c.board.RolloutsValidUntil.Store(int64(c.validUntil(now)))
+	c.logValidity(until, now)
+	c.board.RolloutsValidUntil.Store(int64(until))
 	if !c.board.Roster.Value().Loaded || !c.hasRead() {
 		return
 	}
@@ -225,6 +230,22 @@
 	}
 }
 
+// logValidity logs when this daemon may use no engine any more, and when it may again.
+func (c *Controller) logValidity(until, now clock.Instant) {
+	valid := until > now
+	if valid == c.isValid {
+		return
+	}
+	c.isValid = valid
+	readAt := c.board.RolloutOrders.Value().ReadAt
+	if valid {
+		c.log.Info().Dur("reading_age", now.Sub(readAt)).Msg("versions of engines are known and may be used")
+		return
+	}
+	c.log.Warn().Dur("reading_age", now.Sub(readAt)).Int64("reporting_daemons", c.board.ReportingDaemons.Load()).
+		Msg("versions of engines may have changed unnoticed; no engine is used")
+}
+
 // hasRead reports whether both tables were read.
 func (c *Controller) hasRead() bool {
 	c.mu.Lock()
--- a/controller/rollouts/service.go
+++ b/controller/rollouts/service.go
@@ -19,14 +19,26 @@
 	hasSlack bool                      // the daemon ran before the order was written
 	badSince clock.Instant             // since when the known answers show a bad version, or 0
 
+	inUseOf inUseQuery // for which inUse was last found by the engines
+
 	ownership
 }
 
+// inUseQuery is what the version in use depends on if no roll-out tells it.
+type inUseQuery struct {
+	engines        uint64 // version of the section Engines
+	last, excluded string
+}
+
 // updateServices updates the state of each service with engines, an order or a record.
 func (c *Controller) updateServices(now clock.Instant) {
-	engines, orders := c.board.Engines.Value(), c.board.RolloutOrders.Value()
-	for _, e := range engines.All {
-		c.addService(e.Service)
+	snap, orders := c.board.Engines.Load(), c.board.RolloutOrders.Value()
+	engines := snap.Value
+	if c.enginesSeen != snap.Version {
+		c.enginesSeen = snap.Version
+		for _, e := range engines.All {
+			c.addService(e.Service)
+		}
 	}
 	for service := range orders.ByService {
 		c.addService(service)
@@ -39,7 +51,7 @@
 	}
 	for service, s := range c.services {
 		r, ok := records[service]
-		s.update(engines.OfService(service), orders.ByService[service], r, ok, now)
+		s.update(snap.Version, engines.OfService(service), orders.ByService[service], r, ok, now)
 		if s.counts != nil {
 			c.updateCounts(service, s, now)
 		}
@@ -53,25 +65,33 @@
 }
 
 // update updates the order and the version in use.
-func (s *serviceState) update(engines []*blackboard.Engine, order *blackboard.RolloutOrder, r versionedRecord, hasRecord bool, now clock.Instant) {
+func (s *serviceState) update(version uint64, engines []*blackboard.Engine, order *blackboard.RolloutOrder, r versionedRecord, hasRecord bool, now clock.Instant) {
 	s.observeRecord(r, now)
 	switch {
 	case hasRecord && !r.isFinal():
-		s.inUse = r.InUse
+		s.inUse, s.inUseOf = r.InUse, inUseQuery{}
 		s.setOrder(r.Order, order)
 	case order != nil && !(hasRecord && r.isOf(order)):
-		s.inUse = rollout.VersionInUse(engines, s.lastInUse(r, hasRecord), order.To)
+		s.findInUse(inUseQuery{version, s.lastInUse(r, hasRecord), order.To}, engines)
 		s.setOrder(order.Version, order)
 	default:
 		excluded := ""
 		if r.State == stateReverted {
 			excluded = r.To
 		}
-		s.inUse = rollout.VersionInUse(engines, s.lastInUse(r, hasRecord), excluded)
+		s.findInUse(inUseQuery{version, s.lastInUse(r, hasRecord), excluded}, engines)
 		s.setOrder(0, nil)
 	}
 }
 
+// findInUse finds the version in use by the engines, unless nothing changed.
+func (s *serviceState) findInUse(q inUseQuery, engines []*blackboard.Engine) {
+	if s.inUseOf != q {
+		s.inUseOf = q
+		s.inUse = rollout.VersionInUse(engines, q.last, q.excluded)
+	}
+}
+
 // lastInUse returns the version that was in use last.
 func (s *serviceState) lastInUse(r versionedRecord, hasRecord bool) string {
 	if hasRecord {
@@ -122,7 +142,19 @@
 		s.badSince = 0
 	case s.badSince == 0:
 		s.badSince = now
+		c.logBad(service, &evidence)
+	}
+}
+
+// logBad logs that this daemon finds the new version bad.
+func (c *Controller) logBad(service string, evidence *rollout.Evidence) {
+	old, new := evidence.Total(blackboard.OldVersion), evidence.Total(blackboard.NewVersion)
+	line := c.log.Warn().Str("service", service).Int64("old_answered", old[1]).Int64("old_bad", old[2]).
+		Int64("new_answered", new[1]).Int64("new_bad", new[2]).Int("daemons_with_bad", evidence.DaemonsWithBad)
+	for name, route := range evidence.Routes {
+		line = line.Int64("new_bad_on_"+name, route[blackboard.NewVersion][2])
 	}
+	line.Msg("new version of the engines has more bad answers than the old one")
 }
 
 // countNew returns the number of usable engines of the version that the order of the service
