Placement: the counts of daemons stand before reports of engines with a pace; no early yielding

Change: only the pace of such reports is used, items fill all slots, the trend of online load is gone with its tests (nothing is left that they guard), and the contract pressure in the settings switches the queue and the memory of engines on. TestAnswersCountAtTheirEngines checks that a pace is recorded and a number of requests beside it is not.

--- a/blackboard/engines.go
+++ b/blackboard/engines.go
@@ -103,8 +103,6 @@
 	OwnPace EngineReport
 	// slowness is what was learned of the engine's speed, packed, or 0 if it is not known.
 	slowness atomic.Uint64
-	// requestLimit is the number of requests that it can take, if slowness is known.
-	requestLimit atomic.Int64
 	// Health is derived from the engine's responses.
 	Health EngineHealth
 	// Leaving reports whether the engine told this daemon that it shuts down. That never
@@ -142,13 +140,9 @@
 	return r.requests.Load()
 }
 
-// SetSlowness records how slow the engine is compared with others of its service, and how many
-// requests it can take, or with the zero value that this is not known. controller/loads calls
-// it.
-func (l *EngineLoad) SetSlowness(c capacity.Curve, limit int) {
-	l.requestLimit.Store(int64(limit))
-	l.slowness.Store(c.Pack())
-}
+// SetSlowness records how slow the engine is compared with others of its service, or with the
+// zero value that this is not known. controller/loads calls it.
+func (l *EngineLoad) SetSlowness(c capacity.Curve) { l.slowness.Store(c.Pack()) }
 
 // Slowness returns how slow the engine is compared with others of its service. It reports
 // false if that is not known, as for all engines of a service that do not report their pace.
@@ -157,15 +151,6 @@
 	return capacity.Unpack(packed), packed != 0
 }
 
-// RequestLimit returns the number of requests that the engine can take before it becomes
-// slow, or its slots if that is not known.
-func (e *Engine) RequestLimit() int {
-	if _, known := e.Load.Slowness(); known {
-		return min(int(e.Load.requestLimit.Load()), e.Slots)
-	}
-	return e.Slots
-}
-
 // UseColdTurn uses up the turn and all earlier ones. It reports whether the turn was
 // unused. It may be called from several goroutines.
 func (l *EngineLoad) UseColdTurn(turn int64) bool {
--- a/blackboard/entry.go
+++ b/blackboard/entry.go
@@ -52,12 +52,12 @@
 	// Places holds the online requests that wait for a place at an engine, for
 	// controller/admission.
 	Places *PlaceQueue
-	// AdmissionQueue lets all services use the admission queue. It is set before the daemon
-	// serves.
+	// AdmissionQueue lets all services use the admission queue and the memory of engines. It
+	// is set before the daemon serves.
 	AdmissionQueue atomic.Bool
-	// PacedServices is the set of services of which an engine reported its pace lately. Only
-	// they use the admission queue, the learned speed and the memory of engines.
-	// controller/loads writes it.
+	// PacedServices is the set of services of which an engine reported its pace lately. They
+	// use the admission queue, the learned speed and the memory of engines. controller/loads
+	// writes it.
 	PacedServices Section[map[string]bool]
 	// ServiceRuns holds what is known of the requests of each service that ran on this
 	// daemon, by the service's name. controller/admission writes it.
--- a/blackboard/places.go
+++ b/blackboard/places.go
@@ -166,7 +166,7 @@
 func (s *ServiceRuns) UsualRun() time.Duration { return time.Duration(s.usual.Load()) }
 
 // UsesAdmissionQueue reports whether online requests of the service wait for a place when all
-// its engines are full, and whether its batch items give way to a rise of them.
+// its engines are full. The memory of its engines then limits placement, too.
 func (b *EntryBoard) UsesAdmissionQueue(service string) bool {
 	return b.AdmissionQueue.Load() || b.PacedServices.Value()[service]
 }
@@ -197,7 +197,7 @@
 // MemoryTokens returns the tokens that an engine of the service can hold, or 0 if that is not
 // known or does not limit placement.
 func (b *EntryBoard) MemoryTokens(service *catalog.Service) int64 {
-	if service == nil || !b.PacedServices.Value()[service.Name] {
+	if service == nil || !b.UsesAdmissionQueue(service.Name) {
 		return 0
 	}
 	return service.MemoryTokens
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -67,9 +67,6 @@
 	Open bool
 	// Resumable reports whether another engine may continue a broken stream.
 	Resumable bool
-	// GapAim is how long the time between two events of a stream should be at most, or 0 if the
-	// configuration does not say.
-	GapAim time.Duration
 	// Split lists the services that serve the route, with their weights.
 	Split []WeightedService
 	// Priority orders the requests that wait for an engine: 0 is the most urgent.
@@ -220,19 +217,6 @@
 // Services returns all services by name. The caller must not modify the map.
 func (c *Catalog) Services() map[string]*Service { return c.services }
 
-// GapAim returns the shortest GapAim of the routes that the service serves, or 0 if none has
-// one.
-func (c *Catalog) GapAim(service string) time.Duration {
-	var shortest time.Duration
-	for _, r := range c.byName {
-		serves := slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
-		if r.GapAim > 0 && serves && (shortest == 0 || r.GapAim < shortest) {
-			shortest = r.GapAim
-		}
-	}
-	return shortest
-}
-
 // WorkspaceByKey returns the workspace that owns the key, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.keys[key] }
 
--- a/controller/jobs/jobs.go
+++ b/controller/jobs/jobs.go
@@ -53,7 +53,6 @@
 	events       chan func()               // run by the goroutine of Run
 	preemptedAt  map[string]clock.Instant  // by engine: when items were last preempted
 	missingSince map[job.Key]clock.Instant // when the owner was first found missing, or the last claim failed
-	trends       map[string]onlineTrend    // of the online requests, by service
 	running      int                       // items
 	runTime      due.RunTime               // of completed items
 	draining     atomic.Bool               // set by Drain
@@ -96,7 +95,6 @@
 	for {
 		snap := c.board.Jobs.Load()
 		c.reconcile(ctx, snap.Value)
-		c.followOnlineLoad()
 		c.preempt()
 		if c.draining.Load() {
 			c.handOver(ctx)
--- a/controller/jobs/schedule.go
+++ b/controller/jobs/schedule.go
@@ -28,7 +28,7 @@
 		if !e.IsUsable() {
 			continue // a draining engine finishes what it runs
 		}
-		count, reason := placement.ItemsToYield(e, c.trends[e.Service].reserve, rand.Float64()), "gives way to online requests"
+		count, reason := placement.ItemsToPreempt(e, rand.Float64()), "gives way to online requests"
 		if count == 0 && placement.PreemptForMemory(e, c.memoryTokens(e), rand.Float64()) {
 			count, reason = 1, "leaves memory to online requests"
 		}
@@ -160,7 +160,6 @@
 		PeersWithBatchDemand:     int(c.board.PeersWithBatchDemand.Load()),
 		NearPeersWithBatchDemand: int(c.board.NearPeersWithBatchDemand.Load()),
 		Interval:                 schedulingInterval,
-		Reserve:                  c.trends[service.Name].reserve,
 	}
 	query.Tried, query.Tokens = s.failedRecently, s.tokens
 	engine := c.chooseEngine(s, service.Name, &query)
--- a/controller/loads/capacity.go
+++ b/controller/loads/capacity.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		for _, e := range engines.OfService(service) {
-			e.Load.SetSlowness(capacity.Curve{}, 0)
+			e.Load.SetSlowness(capacity.Curve{})
 		}
 	}
 }
@@ -162,10 +162,9 @@
 			estimates[i].measure(e, usual, median, now)
 		}
 	}
-	objective := s.objective(service, cat)
 	for i, e := range engines {
 		curve := estimates[i].Curve(median, now)
-		e.Load.SetSlowness(curve, curve.Limit(e.Slots, objective))
+		e.Load.SetSlowness(curve)
 	}
 }
 
@@ -192,19 +191,10 @@
 		}
 		estimate.isSlow, estimate.loggedAt = !estimate.isSlow, now
 		c.log.Info().Str("engine", e.ID).Bool("slow", estimate.isSlow).Float64("slowness", slowness).Float64("pace", estimate.Pace(now)).
-			Int("engine_busy", e.RequestCount()).Int("request_limit", e.RequestLimit()).Msg("engine became slower than others, or no longer is")
+			Int("engine_busy", e.RequestCount()).Msg("engine became slower than others, or no longer is")
 	}
 }
 
-// objective returns how many times slower than the median engine an engine of the service may
-// be, so that the time between events stays within the routes' aim, or 0 if that is not known.
-func (s *estimates) objective(service string, cat *catalog.Catalog) float64 {
-	if cat == nil || s.usual[service] <= 0 {
-		return 0
-	}
-	return float64(cat.GapAim(service)) / s.usual[service]
-}
-
 // measure records the inter-event interval that this daemon measured at the engine, unless no
 // event came since the last sample. The usual interval and the median pace are those of the
 // median engine.
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -130,6 +130,7 @@
 		Address: settings.PeerAddress, DataCentre: settings.DataCentre,
 	}
 	e.board.Roster.Publish(&blackboard.Roster{Self: self})
+	e.board.AdmissionQueue.Store(settings.EnginePressure)
 	if settings.Rollouts != nil {
 		e.board.Rollouts.Publish(new(blackboard.Rollouts))
 	}
--- a/daemon/entrymetrics.go
+++ b/daemon/entrymetrics.go
@@ -53,9 +53,6 @@
 	gauge("engines_slow", "Registered engines that accept new requests and are at least 1.5 times slower than the median engine with the requests that they have.", func() float64 {
 		return float64(countEngines(board, isSlow))
 	})
-	gauge("engines_limited", "Registered engines that accept new requests and become slow before all their slots are taken.", func() float64 {
-		return float64(countEngines(board, func(e *blackboard.Engine) bool { return e.RequestLimit() < e.Slots }))
-	})
 	gauge("engine_tokens", "Tokens of the requests and batch items that this daemon has at engines, each with its whole prompt and largest output.", func() float64 {
 		var sum int64
 		for _, e := range board.Engines.Value().All {
--- a/policy/capacity/capacity.go
+++ b/policy/capacity/capacity.go
@@ -32,9 +32,6 @@
 	minPercent, maxPercent = 50, 400
 	// usual is the figure of an engine that nothing is known of.
 	usual = 100
-	// limitFactor is how many times slower than with few requests an engine may be with the
-	// largest number that it is meant to take.
-	limitFactor = 1.5
 	// minMeasured is the number of measured engines below which their median says nothing.
 	minMeasured = 4
 )
@@ -150,23 +147,6 @@
 	return float64(c[Band(requests, slots)]) / usual
 }
 
-// Limit returns the number of requests that the engine can take before it becomes clearly
-// slower than with few, or misses the objective: from 1 to slots. The objective is how many
-// times slower than the median engine it may be, or 0 without one. One that the median engine
-// misses says nothing about this engine.
-func (c Curve) Limit(slots int, objective float64) int {
-	most := limitFactor * float64(c[0])
-	if objective >= 1 {
-		most = min(most, usual*objective)
-	}
-	for i := 1; i < Bands; i++ {
-		if float64(c[i]) > most {
-			return max(slots*i/Bands, 1)
-		}
-	}
-	return max(slots, 1)
-}
-
 // Median returns the median of the values, or false if there are too few to compare engines
 // by it. It sorts the values.
 func Median(values []float64) (float64, bool) {
--- a/policy/placement/batch.go
+++ b/policy/placement/batch.go
@@ -15,9 +15,6 @@
 	NearPeersWithBatchDemand int
 	// Interval is the time between two passes in which the daemon starts items.
 	Interval time.Duration
-	// Reserve is the number of slots of each engine, on average, that items leave to online
-	// requests that are expected soon.
-	Reserve float64
 }
 
 // minPreemptionInterval is the shortest time between two preemptions of a daemon at one
@@ -78,7 +75,7 @@
 // spareSlots returns the number of free slots of the engine that items may take. An engine
 // that is not preferred counts one less.
 func (q *BatchQuery) spareSlots(e *blackboard.Engine) int {
-	spare := e.RequestLimit() - e.RequestCount()
+	spare := e.Slots - e.RequestCount()
 	if !q.PreferredEngines[e.ID] {
 		spare--
 	}
@@ -88,9 +85,6 @@
 			spare -= farReserve
 		}
 	}
-	if q.Reserve > 0 {
-		spare -= int(q.Reserve + q.Random())
-	}
 	return spare
 }
 
@@ -114,21 +108,16 @@
 
 // ItemsToPreempt returns how many of its items at the engine this daemon preempts so
 // that online requests need not wait. Daemons with items at the engine together preempt
-// as many as it has requests beyond its slots, or one more than it can take before it becomes
-// slow, each in proportion to its items. The
+// as many as it has requests beyond its slots, each in proportion to its items. The
 // number is rounded up if random, a number in [0, 1), is below its fractional part.
-func ItemsToPreempt(e *blackboard.Engine, random float64) int { return ItemsToYield(e, 0, random) }
-
-// ItemsToYield is ItemsToPreempt with so many more online requests as reserve says, which are
-// expected at the engine soon.
-func ItemsToYield(e *blackboard.Engine, reserve, random float64) int {
+func ItemsToPreempt(e *blackboard.Engine, random float64) int {
 	own := e.Load.Batch.Load()
 	all := own + e.Load.PeerBatch.Load()
-	over := float64(e.RequestCount()-min(e.Slots, e.RequestLimit()+1)) + reserve
+	over := int64(e.RequestCount() - e.Slots)
 	if own == 0 || over <= 0 {
 		return 0
 	}
-	exact := min(over, float64(all)) * float64(own) / float64(all)
+	exact := float64(min(over, all)) * float64(own) / float64(all)
 	whole := int(exact)
 	if random < exact-float64(whole) {
 		whole++
--- a/relay/request.go
+++ b/relay/request.go
@@ -119,18 +119,20 @@
 	return r.Leaving && !r.Misdirected && !engine.Load.Leaving.Swap(true)
 }
 
-// RecordLoad records the load that the engine reported with its response.
+// RecordLoad records the load that the engine reported with its response. Of an engine that
+// reports its pace only that counts: its number of requests is older than what the daemons tell
+// each other, and items were preempted again for requests that had left.
 func (r *Response) RecordLoad(engine *blackboard.Engine) {
-	if r.Running >= 0 {
+	switch {
+	case r.Running < 0:
+	case r.Pace > 0:
+		engine.Load.OwnPace.Record(int64(r.Pace), clock.Now())
+	default:
 		engine.Load.OwnReport.Record(int64(r.Running+r.Waiting), clock.Now())
-		if r.Pace > 0 {
-			engine.Load.OwnPace.Record(int64(r.Pace), clock.Now())
-		}
 	}
 }
 
-// RecordRefusal records the load that the engine reported with a refusal. It does so only for
-// engines that report their pace: others are placed by what they report with responses.
+// RecordRefusal records the pace that the engine reported with a refusal.
 func (r *Response) RecordRefusal(engine *blackboard.Engine) {
 	if r.Pace > 0 && !r.Misdirected {
 		r.RecordLoad(engine)
