--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -91,6 +91,7 @@
 	opts        Options
 	delayProxy  delayProxy
 	agentListen map[string]string // name of a VM to the listen address of its agent
+	metrics     map[string]string // name of the process of a daemon to its metrics address
 	dir         string            // settings and logs of the processes
 	processes   []*Process        // in the order of their start
 }
@@ -104,7 +105,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create directory of the fleet: %w", err)
 	}
-	f := &Fleet{opts: opts, dir: dir, Keys: make(map[string]string), AdminKey: "admin-" + rand.Text()}
+	f := &Fleet{opts: opts, dir: dir, Keys: make(map[string]string), AdminKey: "admin-" + rand.Text(), metrics: make(map[string]string)}
 	if err := f.start(ctx); err != nil {
 		err = errors.Join(err, f.exitErrors())
 		f.Kill()
@@ -332,10 +333,14 @@
 	if err := f.startProgram(name, programName, "--settings", path); err != nil {
 		return err
 	}
+	f.metrics[name] = s.MetricsAddress
 	f.delayProxy.setDataCentre(f.Process(name).PID(), s.DataCentre)
 	return nil
 }
 
+// MetricsAddress returns the metrics address of the daemon whose process has the name.
+func (f *Fleet) MetricsAddress(name string) string { return f.metrics[name] }
+
 // Process returns the process with the given name, or nil.
 func (f *Fleet) Process(name string) *Process {
 	for _, p := range f.processes {
