One budget of connections and bytes for each process

Bodies, frames, heads and answers of all connections together had no bound: a few hundred connections exceeded the descriptors of a small VM, and six that sent calls without reading took 400 MB.

Connections take room at accept, for incomplete heads, bodies, frames, calls and writes; beyond it the oldest idle, silent or incomplete ones are closed. A caller that acknowledges nothing for unread_timeout is closed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -41,6 +41,9 @@
 
 // Limits holds the limits on what a caller may send, and how long it may take.
 type Limits struct {
+	// MaxHeaderBytes is the size of the largest head of a request, or 0 if the
+	// configuration sets no limit.
+	MaxHeaderBytes int
 	// MaxBodyBytes is the size of the largest body, or 0 if the configuration sets
 	// no limit.
 	MaxBodyBytes int64
--- a/config/settings.go
+++ b/config/settings.go
@@ -43,6 +43,15 @@
 	ReadTimeout time.Duration `yaml:"read_timeout"`
 	// BodyTimeout bounds the time to read the body of a request. The default is 1m.
 	BodyTimeout time.Duration `yaml:"body_timeout"`
+	// MemoryBytes is the memory of the process. What it holds for callers and for other
+	// processes is bounded by it. The default is 2 GiB.
+	MemoryBytes int64 `yaml:"memory"`
+	// MaxDescriptors is the number of files that the process may open. The default is the
+	// limit of the operating system.
+	MaxDescriptors int `yaml:"max_descriptors"`
+	// UnreadTimeout is how long a caller may take to receive anything of what was written to
+	// it. The default is 10s.
+	UnreadTimeout time.Duration `yaml:"unread_timeout"`
 	// LogLevel is debug, info, warn or error. The default is info.
 	LogLevel string `yaml:"log_level"`
 }
@@ -65,6 +74,8 @@
 	defaultDrainTimeout    = 150 * time.Second
 	defaultReadTimeout     = 10 * time.Second
 	defaultBodyTimeout     = time.Minute
+	defaultMemoryBytes     = 2 << 30
+	defaultUnreadTimeout   = 10 * time.Second
 	defaultPlatformTimeout = 2 * time.Second
 	defaultLogLevel        = "info"
 )
@@ -111,6 +122,8 @@
 	s.DrainTimeout = cmp.Or(s.DrainTimeout, defaultDrainTimeout)
 	s.ReadTimeout = cmp.Or(s.ReadTimeout, defaultReadTimeout)
 	s.BodyTimeout = cmp.Or(s.BodyTimeout, defaultBodyTimeout)
+	s.MemoryBytes = cmp.Or(s.MemoryBytes, defaultMemoryBytes)
+	s.UnreadTimeout = cmp.Or(s.UnreadTimeout, defaultUnreadTimeout)
 	s.Platform.Timeout = cmp.Or(s.Platform.Timeout, defaultPlatformTimeout)
 	s.LogLevel = cmp.Or(s.LogLevel, defaultLogLevel)
 }
@@ -148,6 +161,7 @@
 		{"drain", s.DrainTimeout},
 		{"read_timeout", s.ReadTimeout},
 		{"body_timeout", s.BodyTimeout},
+		{"unread_timeout", s.UnreadTimeout},
 	} {
 		if f.value < 0 {
 			c.failf([]any{f.name}, "%s must not be negative", f.name)
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -11,6 +11,7 @@
 	"github.com/baobablanding/baobablanding/agent"
 	"github.com/baobablanding/baobablanding/batch"
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/budget"
 	"github.com/baobablanding/baobablanding/config"
 	"github.com/baobablanding/baobablanding/configstore"
 	"github.com/baobablanding/baobablanding/controller/configsync"
@@ -61,13 +62,16 @@
 	table := platform.NewTable(settings.Platform.TableURL, settings.Platform.Timeout)
 	objects := platform.NewObjects(settings.Platform.ObjectsURL, settings.Platform.Timeout)
 	reg := newRegistry()
+	process := newBudget(budget.Limits{
+		MemoryBytes: settings.MemoryBytes, Descriptors: settings.MaxDescriptors, UnreadTimeout: settings.UnreadTimeout,
+	}, reg, logger)
 	a.agent = agent.New(a.board, agent.NewMetrics(reg))
 
 	var err error
-	if a.metrics, err = serveMetrics(settings.MetricsAddress, reg); err != nil {
+	if a.metrics, err = serveMetrics(settings.MetricsAddress, reg, process); err != nil {
 		return err
 	}
-	if a.peers, err = peer.Listen(settings.PeerAddress, a.handlers(), a.sendStatus); err != nil {
+	if a.peers, err = peer.ListenWithin(settings.PeerAddress, a.handlers(), a.sendStatus, process.NewPool(peerFraction)); err != nil {
 		return err
 	}
 	a.board.Phase.Publish(blackboard.PhaseServing)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/zeromicro/go-zero/rest"
 
+	"github.com/baobablanding/baobablanding/budget"
 	"github.com/baobablanding/baobablanding/config"
 	"github.com/baobablanding/baobablanding/httpserve"
 )
@@ -36,6 +38,7 @@
 // exit code. It calls start once to get the daemon. A SIGINT aborts the graceful shutdown.
 func runDaemon(settings config.Settings, start func(config.Settings, *log.Logger) (Process, error)) int {
 	stops := notifyStops()
+	debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitFraction))
 	logger := NewLogger(settings)
 	return runProcess(logger, stops, settings.DrainTimeout, func() (Process, error) { return start(settings, logger) })
 }
@@ -100,14 +103,14 @@
 }
 
 // serveMetrics starts a server of /metrics and /healthz at the address.
-func serveMetrics(address string, reg *prometheus.Registry) (*httpserve.Server, error) {
+func serveMetrics(address string, reg *prometheus.Registry, process *budget.Budget) (*httpserve.Server, error) {
 	handler := promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
 	server, err := httpserve.Listen(address, []rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: handler.ServeHTTP},
 		{Method: http.MethodGet, Path: "/healthz", Handler: func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusNoContent)
 		}},
-	}, httpserve.Options{ReadHeaderTimeout: time.Second})
+	}, httpserve.Options{ReadHeaderTimeout: time.Second, Pool: process.NewPool(metricsFraction)})
 	if err != nil {
 		return nil, fmt.Errorf("listen for metrics requests: %w", err)
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,6 +17,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/budget"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/controller/directory"
 	"github.com/baobablanding/baobablanding/controller/jobs"
@@ -69,6 +70,7 @@
 	front       *httpserve.Server
 	readiness   *httpserve.Server
 	metrics     *httpserve.Server
+	budget      *budget.Budget
 	log         *log.Logger
 }
 
@@ -132,6 +134,9 @@
 	}
 	reg := newRegistry()
 	registerEntryMetrics(reg, e.board)
+	e.budget = newBudget(budget.Limits{
+		MemoryBytes: settings.MemoryBytes, Descriptors: settings.MaxDescriptors, UnreadTimeout: settings.UnreadTimeout,
+	}, reg, e.log)
 	e.roster = roster.New(e.board, rows, self, e.log)
 	metrics := relay.NewMetrics(reg)
 	e.jobs = jobs.New(e.board, rows, jobs.Engines{
@@ -151,20 +156,22 @@
 	keyValidity := time.Duration(float64(settings.WithdrawnKeyGrace) * keyValidityFraction)
 	maxBodies := int64(float64(settings.MemoryBytes) * bodyMemoryFraction)
 	onlineServer := relay.NewServer(e.board, engines, settings.DataCentre, keyValidity, metrics, e.log)
-	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self), maxBodies), reg)
+	return e.listen(settings, platform.NewHandler(onlineServer, relay.NewJobServer(onlineServer, job.NewLedger(rows), self), maxBodies, e.budget), reg)
 }
 
 // listen opens the listeners for metrics, callers and readiness probes, then sets the
 // phase to serving.
 func (e *Entry) listen(settings platform.Settings, handler http.Handler, reg *prometheus.Registry) error {
 	var err error
-	if e.metrics, err = serveMetrics(settings.MetricsAddress, reg); err != nil {
+	if e.metrics, err = serveMetrics(settings.MetricsAddress, reg, e.budget); err != nil {
 		return err
 	}
 	if e.front, err = httpserve.Listen(settings.CallerAddress, nil, httpserve.Options{
 		ReadHeaderTimeout: entryHeaderTimeout, NotFound: handler, MethodNotAllowed: handler,
 		OnPanic:  http.HandlerFunc(platform.PanicResponse),
 		Timeouts: e.timeouts,
+		Pool:     e.budget.NewPool(callerFraction),
+		MaxHead:  e.maxHead,
 		MaxBody:  func() int64 { return platform.MaxBodyBytes(e.board.Catalog.Value()) },
 		Ends:     httpserve.NewEndLog(reg, e.log, platform.RequestID),
 
@@ -173,7 +180,9 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	readinessRoutes := []rest.Route{{Method: http.MethodGet, Path: platform.ReadyPath, Handler: platform.ReadyHandler(e.isReady)}}
-	if e.readiness, err = httpserve.Listen(settings.ReadinessAddress, readinessRoutes, httpserve.Options{ReadHeaderTimeout: time.Second}); err != nil {
+	if e.readiness, err = httpserve.Listen(settings.ReadinessAddress, readinessRoutes, httpserve.Options{
+		ReadHeaderTimeout: time.Second, Pool: e.budget.NewPool(readinessFraction),
+	}); err != nil {
 		return fmt.Errorf("listen for readiness probes: %w", err)
 	}
 	e.board.Phase.Publish(blackboard.PhaseServing)
@@ -193,6 +202,15 @@
 	return httpserve.Timeouts{Header: c.Limits.HeaderTimeout, Idle: c.Limits.IdleTimeout}
 }
 
+// maxHead returns the size of the largest head of a request under the configuration in force, or
+// 0 if it has no limit.
+func (e *Entry) maxHead() int {
+	if c := e.board.Catalog.Value(); c != nil {
+		return c.Limits.MaxHeaderBytes
+	}
+	return 0
+}
+
 // isReady reports whether the daemon can serve new callers: it is in the serving phase,
 // knows an engine, and has a configuration whose last read is recent enough.
 func (e *Entry) isReady() bool {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobablanding/baobablanding/batch"
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/budget"
 	"github.com/baobablanding/baobablanding/config"
 	"github.com/baobablanding/baobablanding/configstore"
 	"github.com/baobablanding/baobablanding/controller/configsync"
@@ -57,6 +58,9 @@
 	objects := platform.NewObjects(settings.Platform.ObjectsURL, settings.Platform.Timeout)
 	configs := configstore.New(table, objects)
 	reg := newRegistry()
+	process := newBudget(budget.Limits{
+		MemoryBytes: settings.MemoryBytes, Descriptors: settings.MaxDescriptors, UnreadTimeout: settings.UnreadTimeout,
+	}, reg, logger)
 
 	upstreamController := upstreams.New(g.board, settings.Name, settings.DataCentre, logger)
 	limitController := limits.New(g.board, settings.Name, limits.NewMetrics(reg))
@@ -78,13 +82,13 @@
 	server := serve.New(g.board, g.agents, settings.DataCentre, serve.NewMetrics(reg))
 	front := gateway.New(settings, g.board, server, configs, batch.NewStore(table, objects))
 	var err error
-	if g.metrics, err = serveMetrics(settings.MetricsAddress, reg); err != nil {
+	if g.metrics, err = serveMetrics(settings.MetricsAddress, reg, process); err != nil {
 		return err
 	}
-	if g.peers, err = peer.Listen(settings.PeerAddress, mergeHandlers(g.peerHandlers(memberController), limitController.Handlers()), nil); err != nil {
+	if g.peers, err = peer.ListenWithin(settings.PeerAddress, mergeHandlers(g.peerHandlers(memberController), limitController.Handlers()), nil, process.NewPool(peerFraction)); err != nil {
 		return err
 	}
-	if g.http, err = front.Listen(); err != nil {
+	if g.http, err = front.Listen(process.NewPool(callerFraction)); err != nil {
 		return err
 	}
 	g.controllers.run(func(ctx context.Context) { g.serveAfter(ctx, limitController.Ready()) })
--- a/devfleet/fleet.go
+++ b/devfleet/fleet.go
@@ -47,6 +47,8 @@
 	// BatchLease is the duration of the lease of a batch worker. If 0, the daemons use
 	// their default.
 	BatchLease time.Duration
+	// EditSettings changes the settings of each daemon before it starts. It may be nil.
+	EditSettings func(*config.Settings)
 	// EditInventory changes the inventory before the daemons start. It may be nil.
 	EditInventory func(*fleet.Inventory)
 	// DataCentreLatency is the network latency of one direction between two data
@@ -322,6 +324,9 @@
 // runDaemon writes the settings file of a daemon and starts the daemon.
 func (f *Fleet) runDaemon(name, programName string, s config.Settings) error {
 	s.Platform = config.PlatformSettings{TableURL: f.PlatformURL, ObjectsURL: f.PlatformURL, VMsURL: f.PlatformURL}
+	if f.opts.EditSettings != nil {
+		f.opts.EditSettings(&s)
+	}
 	data, err := config.FormatSettings(&s)
 	if err != nil {
 		return fmt.Errorf("format settings of %s: %w", name, err)
--- a/gateway/admin.go
+++ b/gateway/admin.go
@@ -86,7 +86,7 @@
 // ignored.
 func decodeAdminRequest[T any](g *Gateway, w http.ResponseWriter, r *http.Request) (T, error) {
 	var value T
-	body, err := readBody(w, r, maxAdminBodyBytes, g.settings.BodyTimeout)
+	body, err := g.readBody(w, r, maxAdminBodyBytes)
 	if err != nil {
 		return value, err
 	}
--- a/gateway/batches.go
+++ b/gateway/batches.go
@@ -132,7 +132,7 @@
 		return err
 	}
 	rules := g.view().Inventory.Rules
-	body, err := readBody(w, r, rules.MaxBodyBytes, g.settings.BodyTimeout)
+	body, err := g.readBody(w, r, rules.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobablanding/baobablanding/batch"
 	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/budget"
 	"github.com/baobablanding/baobablanding/config"
 	"github.com/baobablanding/baobablanding/configstore"
 	"github.com/baobablanding/baobablanding/fleet"
@@ -24,6 +25,7 @@
 // goroutines.
 type Gateway struct {
 	settings config.Settings
+	budget   *budget.Budget // for bodies; set by Listen, or nil
 	board    *blackboard.Board
 	server   *serve.Server
 	configs  *configstore.Store
@@ -36,11 +38,13 @@
 	return &Gateway{settings: settings, board: board, server: server, configs: configs, jobs: jobs}
 }
 
-// Listen starts to serve requests at the address in the settings. The caller shuts the
-// returned server down.
-func (g *Gateway) Listen() (*httpserve.Server, error) {
+// Listen starts to serve requests at the address in the settings. The pool bounds the callers'
+// connections and what they hold. The caller shuts the returned server down.
+func (g *Gateway) Listen(pool *budget.Pool) (*httpserve.Server, error) {
+	g.budget = pool.Budget()
 	return httpserve.Listen(g.settings.ListenAddress, g.Routes(), httpserve.Options{
 		ReadHeaderTimeout: g.settings.ReadTimeout,
+		Pool:              pool,
 		NotFound:          http.HandlerFunc(g.serveRoute),
 		MethodNotAllowed:  http.HandlerFunc(g.methodNotAllowed),
 	})
--- a/gateway/online.go
+++ b/gateway/online.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, r, view.Inventory.Rules.MaxBodyBytes, g.settings.BodyTimeout)
+	body, err := g.readBody(w, r, view.Inventory.Rules.MaxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/read.go
+++ b/gateway/read.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/sha256"
 	"errors"
 	"io"
@@ -10,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/baobablanding/baobablanding/budget"
 	"github.com/baobablanding/baobablanding/fleet"
 	"github.com/baobablanding/baobablanding/result"
 )
@@ -50,12 +52,18 @@
 	return credential{text: text, digest: sha256.Sum256([]byte(text))}, nil
 }
 
-// readBody reads a body of at most limit bytes within the timeout. It fails with
-// result.BodyTooLarge, result.BodyTimeout or result.CallerGone.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
+// errNoRoom means that the budget of the process has no room for a body.
+var errNoRoom = result.New(result.QueueFull, result.NotRun)
+
+// readBody reads a body of at most limit bytes within the timeout for bodies. Its room is taken
+// from the budget until the request ends. It fails with result.BodyTooLarge, result.BodyTimeout,
+// result.QueueFull or result.CallerGone.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Now().Add(g.settings.BodyTimeout))
+	counted := &countedBody{Reader: http.MaxBytesReader(w, r.Body, limit), budget: g.budget}
+	body, err := io.ReadAll(counted)
+	context.AfterFunc(r.Context(), counted.release) // the handler holds the body until then
 	if err != nil {
 		return nil, readBodyError(err, limit)
 	}
@@ -63,11 +71,37 @@
 	return body, nil
 }
 
+// bodyCost is the memory that a byte of a body takes: io.ReadAll copies what it has read when its
+// buffer grows.
+const bodyCost = 2
+
+// countedBody takes what is read from it from the budget.
+type countedBody struct {
+	io.Reader
+	budget *budget.Budget
+	taken  int64
+}
+
+// Read implements io.Reader. It fails with errNoRoom if the budget has no room.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if !b.budget.Take(int64(n) * bodyCost) {
+		return 0, errNoRoom
+	}
+	b.taken += int64(n) * bodyCost
+	return n, err
+}
+
+// release gives the room back.
+func (b *countedBody) release() { b.budget.Release(b.taken) }
+
 // readBodyError returns the result error for err, which occurred while a body of at most
 // limit bytes was read.
 func readBodyError(err error, limit int64) error {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoRoom):
+		return errNoRoom
 	case errors.As(err, &tooLarge):
 		return result.Errorf(result.BodyTooLarge, "the body is larger than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/hostiletest/bodies_test.go
+++ b/hostiletest/bodies_test.go
@@ -81,23 +81,27 @@
 }
 
 // TestLargestJobs guards against memory without bound while each caller submits a batch job of
-// the largest size.
+// the largest size, with few and with very many items.
 func TestLargestJobs(t *testing.T) {
-	var items []map[string]any
-	for i := range 4000 {
-		items = append(items, map[string]any{"id": fmt.Sprint("i", i), "path": "/jobs/a", "body": strings.Repeat("YWFh", 50), "tokens": 1})
+	for name, c := range map[string]struct{ items, bodyBytes int }{"long items": {4000, 50}, "short items": {22000, 0}} {
+		t.Run(name, func(t *testing.T) {
+			var items []map[string]any
+			for i := range c.items {
+				items = append(items, map[string]any{"id": fmt.Sprint(i), "path": "/jobs/a", "body": strings.Repeat("YWFh", c.bodyBytes)})
+			}
+			body, err := json.Marshal(map[string]any{"items": items})
+			if err != nil || len(body) > 1<<20 {
+				t.Fatalf("body of %d bytes, %v", len(body), err)
+			}
+			p := startEntry(t)
+			attack(t, p, p.callers, group, func(conn net.Conn) {
+				path := fmt.Sprintf("/jobs/%d", sent.Add(1))
+				_, _ = io.WriteString(conn, keyed(path, fmt.Sprintf("Content-Length: %d\r\n", len(body))))
+				_, _ = conn.Write(body)
+				_, _ = conn.Read(make([]byte, 64))
+			})
+		})
 	}
-	body, err := json.Marshal(map[string]any{"items": items})
-	if err != nil || len(body) > 1<<20 {
-		t.Fatalf("body of %d bytes, %v", len(body), err)
-	}
-	p := startEntry(t)
-	attack(t, p, p.callers, group, func(conn net.Conn) {
-		path := fmt.Sprintf("/jobs/%d", sent.Add(1))
-		_, _ = io.WriteString(conn, keyed(path, fmt.Sprintf("Content-Length: %d\r\n", len(body))))
-		_, _ = conn.Write(body)
-		_, _ = conn.Read(make([]byte, 64))
-	})
 }
 
 // TestAnswersThatNobodyReads guards against memory and engine connections without bound for
--- a/hostiletest/programs_test.go
+++ b/hostiletest/programs_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobablanding/baobablanding/config"
 	"github.com/baobablanding/baobablanding/devfleet"
 	"github.com/baobablanding/baobablanding/httpserve"
 	"github.com/baobablanding/baobablanding/loopback"
@@ -243,7 +244,10 @@
 // startInventoryFleet starts a gateway and an agent with their stand-ins, and returns both.
 func startInventoryFleet(t *testing.T) []*program {
 	t.Helper()
-	fleet, err := devfleet.Start(context.Background(), devfleet.Options{BinDir: binDir, DataCentres: 1, Gateways: 1, Engines: 1, Services: 1})
+	fleet, err := devfleet.Start(context.Background(), devfleet.Options{
+		BinDir: binDir, DataCentres: 1, Gateways: 1, Engines: 1, Services: 1,
+		EditSettings: func(s *config.Settings) { s.MemoryBytes, s.MaxDescriptors = memoryMB<<20, maxDescriptors },
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/httpserve/server.go
+++ b/httpserve/server.go
@@ -15,6 +15,8 @@
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/baobablanding/baobablanding/budget"
 )
 
 // goZeroShutdownDelay is how long go-zero waits before it shuts down after a signal. It
@@ -41,6 +43,12 @@
 	// IdleTimeout limits the time between a response and the next request of a connection.
 	// 0 means two minutes.
 	IdleTimeout time.Duration
+	// Pool bounds the connections of the server and what they hold. If it is nil, they have no
+	// bounds.
+	Pool *budget.Pool
+	// MaxHead returns the size in bytes of the largest head of a request, at most 64 KiB, which
+	// also holds if it is nil or returns 0.
+	MaxHead func() int
 	// Timeouts returns the current timeouts, which hold where they are longer than
 	// ReadHeaderTimeout and IdleTimeout, also on open connections. It may be nil.
 	Timeouts func() Timeouts
@@ -72,7 +80,9 @@
 	listener net.Listener
 	ends     *EndLog
 	maxBody  func() int64
-	timeouts func() Timeouts
+	timeouts func() Timeouts // or nil
+	pool     *budget.Pool
+	headSize func() int // or nil
 	draining atomic.Bool
 	done     chan struct{} // closed when serve returns
 	// cancelRequests cancels the contexts of all requests; stopCause is its cause, or nil.
@@ -105,7 +115,9 @@
 			IdleTimeout:       cmp.Or(opts.IdleTimeout, defaultIdleTimeout),
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
-		listener: listener,
+		timeouts: opts.Timeouts,
+		pool:     opts.Pool,
+		headSize: opts.MaxHead,
 		ends:     opts.Ends,
 		maxBody:  opts.MaxBody,
 		done:     make(chan struct{}),
@@ -117,9 +129,8 @@
 	if s.ends != nil {
 		s.http.ErrorLog = s.ends.log.Std("", 0)
 	}
-	if opts.Timeouts != nil {
-		s.listenTo(listener, opts.Timeouts)
-	}
+	s.listener = &callerListener{TCPListener: listener.(*net.TCPListener), server: s}
+	s.http.ConnState = followConnState
 	if opts.OnPanic == nil {
 		opts.OnPanic = http.HandlerFunc(internalError)
 	}
@@ -128,11 +139,12 @@
 	return s, nil
 }
 
-// listenTo makes the server wait on the listener's connections as long as the timeouts say.
-func (s *Server) listenTo(listener net.Listener, timeouts func() Timeouts) {
-	s.timeouts = timeouts
-	s.listener = &callerListener{TCPListener: listener.(*net.TCPListener), server: s}
-	s.http.ConnState = followConnState
+// maxHead returns the size of the largest head of a request.
+func (s *Server) maxHead() int {
+	if s.headSize == nil {
+		return maxHeaderBytes
+	}
+	return min(cmp.Or(s.headSize(), maxHeaderBytes), maxHeaderBytes)
 }
 
 // serve accepts connections until the server is shut down or closed.
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -26,7 +26,8 @@
 // buffer that it reuses, and calls the message's own MarshalJSON and UnmarshalJSON,
 // which saves passes over the JSON text.
 type codec struct {
-	buf []byte // used only by the goroutine that reads the connection
+	buf  []byte      // used only by the goroutine that reads the connection
+	conn *serverConn // whose budget the messages are taken from, or nil
 }
 
 // newStream returns the stream of messages on the connection.
@@ -34,6 +35,11 @@
 	return jsonrpc2.NewBufferedStream(boundedConn{conn}, new(codec))
 }
 
+// newServerStream returns the stream of messages on a connection that another process opened.
+func newServerStream(conn *serverConn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, &codec{conn: conn})
+}
+
 // writeTimeout bounds how long a remote process that does not read can block a write.
 const writeTimeout = 5 * time.Second
 
@@ -85,21 +91,43 @@
 	if length > maxMessageBytes {
 		return fmt.Errorf("message of %d bytes exceeds the size limit", length)
 	}
-	data := c.buffer(int(length))
-	if _, err := io.ReadFull(stream, data); err != nil {
+	data, taken, err := c.read(stream, int(length))
+	defer c.conn.release(taken)
+	if err != nil {
 		return err
 	}
-	return message.UnmarshalJSON(data)
+	err = message.UnmarshalJSON(data)
+	c.conn.messageRead()
+	return err
 }
 
-// buffer returns a buffer of the given length. It reuses c.buf for lengths up to
-// maxKeptBufferBytes and allocates a new buffer for longer messages.
-func (c *codec) buffer(length int) []byte {
-	if length > maxKeptBufferBytes {
-		return make([]byte, length)
+// messageCost is the memory that a byte of a message takes while it is read and decoded: the
+// buffer is copied when it grows, and the message copies its parameters.
+const messageCost = 3
+
+// read reads a message of the given length. It reuses c.buf for lengths up to maxKeptBufferBytes.
+// The buffer of a longer message grows with what has arrived, and its room is taken from the
+// budget. The caller releases taken, also after an error.
+func (c *codec) read(stream io.Reader, length int) (data []byte, taken int64, err error) {
+	if cap(c.buf) < min(length, maxKeptBufferBytes) {
+		c.buf = make([]byte, min(length, maxKeptBufferBytes))
 	}
-	if cap(c.buf) < length {
-		c.buf = make([]byte, length)
+	data = c.buf[:min(length, maxKeptBufferBytes)]
+	for arrived := 0; ; {
+		if _, err := io.ReadFull(stream, data[arrived:]); err != nil {
+			return nil, taken, err
+		}
+		if arrived = len(data); arrived == length {
+			return data, taken, nil
+		}
+		size := min(2*arrived, length)
+		more := int64(size-arrived) * messageCost
+		if !c.conn.take(more) {
+			return nil, taken, errNoRoom
+		}
+		taken += more
+		grown := make([]byte, size)
+		copy(grown, data)
+		data = grown
 	}
-	return c.buf[:length]
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -156,7 +156,7 @@
 	handlers[MethodChunk] = m.handleChunk
 	ready := make(chan struct{})
 	stream := newStream(conn)
-	session.conn = jsonrpc2.NewConn(ctx, stream, dispatcher{session, handlers, ready}, noLog)
+	session.conn = jsonrpc2.NewConn(ctx, stream, dispatcher{session: session, handlers: handlers, ready: ready}, noLog)
 	close(ready)
 	m.session.Store(session)
 	p.emit(m, ConnEvent{Connected: true})
--- a/peer/server.go
+++ b/peer/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/baobablanding/baobablanding/budget"
 	"github.com/baobablanding/baobablanding/result"
 	"github.com/baobablanding/baobablanding/timer"
 )
@@ -60,6 +61,8 @@
 	listener  net.Listener
 	handlers  Handlers
 	onConnect func(*Session)
+	pool      *budget.Pool  // or nil
+	configs   chan struct{} // has a value for each call of MethodConfig that is served
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
@@ -71,6 +74,15 @@
 // Listen returns a server that listens at the address and serves the handlers. If onConnect
 // is not nil, it is called for each new connection, before the next one is accepted.
 func Listen(address string, handlers Handlers, onConnect func(*Session)) (*Server, error) {
+	return ListenWithin(address, handlers, onConnect, nil)
+}
+
+// maxConfigCalls is the number of configurations that a server sends at once. Each takes the
+// memory of the whole configuration until it is written.
+const maxConfigCalls = 4
+
+// ListenWithin is Listen with a pool that bounds the connections and what they hold.
+func ListenWithin(address string, handlers Handlers, onConnect func(*Session), pool *budget.Pool) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
@@ -80,6 +92,8 @@
 		listener:  listener,
 		handlers:  handlers,
 		onConnect: onConnect,
+		pool:      pool,
+		configs:   make(chan struct{}, maxConfigCalls),
 		ctx:       ctx,
 		cancel:    cancel,
 		sessions:  make(map[*Session]struct{}),
@@ -114,16 +128,20 @@
 			continue
 		}
 		pause = minAcceptPause
-		s.startSession(conn)
+		if c := admit(conn, s.pool); c != nil {
+			s.startSession(c)
+		} else {
+			conn.Close()
+		}
 	}
 }
 
 // startSession serves the messages of a new connection.
-func (s *Server) startSession(conn net.Conn) {
+func (s *Server) startSession(conn *serverConn) {
 	session := &Session{RemoteAddress: conn.RemoteAddr().String()}
-	stream := newStream(conn)
+	stream := newServerStream(conn)
 	ready := make(chan struct{})
-	handler := dispatcher{session: session, handlers: s.handlers, ready: ready}
+	handler := dispatcher{session: session, handlers: s.handlers, ready: ready, server: conn, configs: s.configs}
 	session.conn = jsonrpc2.NewConn(s.ctx, stream, handler, noLog)
 	close(ready)
 	s.mu.Lock()
@@ -183,6 +201,8 @@
 	session  *Session
 	handlers Handlers
 	ready    <-chan struct{} // closed when session.conn is set
+	server   *serverConn     // or nil
+	configs  chan struct{}   // of the Server, or nil
 }
 
 // Handle implements jsonrpc2.Handler.
@@ -202,21 +222,37 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
+	if !d.server.beginCall(len(params)) {
+		if !req.Notif {
+			_ = conn.ReplyWithError(ctx, req.ID, encodeError(result.New(result.QueueFull, result.NotRun)))
+		}
+		return
+	}
 	if req.Notif {
+		defer d.server.endCall(len(params))
 		_, _ = handler(ctx, d.session, params)
 		return
 	}
-	go d.reply(ctx, conn, req.ID, handler, params)
+	go d.reply(ctx, conn, req, handler, params)
 }
 
 // reply serves a call and sends its response.
-func (d dispatcher) reply(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, handler Handler, params json.RawMessage) {
+func (d dispatcher) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, handler Handler, params json.RawMessage) {
+	defer d.server.endCall(len(params))
+	if req.Method == MethodConfig && d.configs != nil {
+		select {
+		case d.configs <- struct{}{}:
+			defer func() { <-d.configs }()
+		case <-conn.DisconnectNotify():
+			return
+		}
+	}
 	value, err := handler(ctx, d.session, params)
 	if err != nil {
-		_ = conn.ReplyWithError(ctx, id, encodeError(err))
+		_ = conn.ReplyWithError(ctx, req.ID, encodeError(err))
 		return
 	}
-	_ = conn.Reply(ctx, id, value)
+	_ = conn.Reply(ctx, req.ID, value)
 }
 
 // DecodeParams parses the parameters of a message. Its error is result.BadRequest with
