--- a/budget/budget.go
+++ b/budget/budget.go
@@ -78,9 +78,9 @@
 	}
 	reg.MustRegister(b.closed, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "baobab_budget_bytes", Help: "Bytes taken from the budget of the process.",
-	}, func() float64 { return float64(b.bytes.Load()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	}, func() float64 { return float64(b.Bytes()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "baobab_budget_connections", Help: "Connections that the listeners of the process hold.",
-	}, func() float64 { return float64(b.connections()) }))
+	}, func() float64 { return float64(b.Connections()) }))
 	return b
 }
 
@@ -92,8 +92,11 @@
 	return b.limits.UnreadTimeout
 }
 
-// connections returns the number of connections of all pools.
-func (b *Budget) connections() int {
+// Bytes returns the number of bytes that are taken.
+func (b *Budget) Bytes() int64 { return b.bytes.Load() }
+
+// Connections returns the number of connections of all pools.
+func (b *Budget) Connections() int {
 	n := 0
 	for _, p := range *b.pools.Load() {
 		n += cap(p.free) - len(p.free)
@@ -202,5 +205,5 @@
 	}
 	b.closedBetween.Add(-n)
 	b.log.Warn().Str("cause", string(cause)).Int64("connections", n).Int64("bytes_held", b.bytes.Load()).
-		Int("connections_held", b.connections()).Msg("connections were closed by the budget of the process; cause is that of the last one")
+		Int("connections_held", b.Connections()).Msg("connections were closed by the budget of the process; cause is that of the last one")
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -80,6 +80,10 @@
 	defaultLogLevel        = "info"
 )
 
+// minMemoryBytes is the least memory in which a gateway or an agent runs; without callers it
+// takes about 22 MB.
+const minMemoryBytes = 48 << 20
+
 // Role is the kind of daemon that settings are for.
 type Role string
 
@@ -167,6 +171,12 @@
 			c.failf([]any{f.name}, "%s must not be negative", f.name)
 		}
 	}
+	if s.MemoryBytes < minMemoryBytes {
+		c.failf([]any{"memory"}, "memory must be at least %d bytes", minMemoryBytes)
+	}
+	if s.MaxDescriptors < 0 {
+		c.fail("max_descriptors must not be negative", "max_descriptors")
+	}
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
--- a/hostiletest/bodies_test.go
+++ b/hostiletest/bodies_test.go
@@ -105,11 +105,15 @@
 }
 
 // TestAnswersThatNobodyReads guards against memory and engine connections without bound for
-// callers that do not read a long answer.
+// callers that do not read a long answer, as a stream or as a whole.
 func TestAnswersThatNobodyReads(t *testing.T) {
-	p := startEntry(t)
-	attack(t, p, p.callers, crowd/2, func(conn net.Conn) {
-		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-		_, _ = io.WriteString(conn, keyed("/once/long", "Content-Length: 0\r\n"))
-	})
+	for _, kind := range []string{"long", "whole"} {
+		t.Run(kind, func(t *testing.T) {
+			p := startEntry(t)
+			attack(t, p, p.callers, crowd/2, func(conn net.Conn) {
+				_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+				_, _ = io.WriteString(conn, keyed("/once/"+kind, "Content-Length: 0\r\n"))
+			})
+		})
+	}
 }
--- a/hostiletest/programs_test.go
+++ b/hostiletest/programs_test.go
@@ -147,7 +147,7 @@
 zone: dc-1
 listen: {front: %q, readiness: %q}
 internalPorts: [%s, %s]
-limits: {memoryMb: %d, maxFds: %d}
+limits: {memoryMb: %d, maxFds: %d, unreadMs: 3000}
 bounds: {graceS: 8, revokeMs: 30000}
 platform: {address: %q}
 `
@@ -181,11 +181,15 @@
 // answerBytes is the size of the engine's long answer.
 const answerBytes = 8 << 20
 
-// serveAsEngine answers requests for /once/long with a stream of answerBytes, and others
-// with a short one.
+// serveAsEngine answers requests for /once/long with a stream of answerBytes, those for
+// /once/whole with as many bytes that are no stream, and others with a short stream.
 func serveAsEngine(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	if strings.HasSuffix(r.URL.Path, "/whole") {
+		_, _ = w.Write(make([]byte, answerBytes))
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	size, events := 5, 3
 	if strings.HasSuffix(r.URL.Path, "/long") {
@@ -246,7 +250,9 @@
 	t.Helper()
 	fleet, err := devfleet.Start(context.Background(), devfleet.Options{
 		BinDir: binDir, DataCentres: 1, Gateways: 1, Engines: 1, Services: 1,
-		EditSettings: func(s *config.Settings) { s.MemoryBytes, s.MaxDescriptors = memoryMB<<20, maxDescriptors },
+		EditSettings: func(s *config.Settings) {
+			s.MemoryBytes, s.MaxDescriptors, s.UnreadTimeout = memoryMB<<20, maxDescriptors, 3*time.Second
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/httpserve/conn.go
+++ b/httpserve/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -36,19 +37,21 @@
 // once, which may hold the first bytes of the body.
 const headSlack = 8 << 10
 
+// unreadChecks is how often within the UnreadTimeout a blocked write looks for progress.
+const unreadChecks = 4
+
 // callerConn is a connection of a caller. Its reads wait longer than net/http allows if the
 // current timeouts of the server are longer, also after a change while a read waits. What it
 // holds is taken from the budget of the process. net/http uses it from several goroutines.
 type callerConn struct {
 	*net.TCPConn
-	server *Server
-	member *budget.Member
-	phase  atomic.Int32 // a connPhase
-	since  atomic.Int64 // clock.Instant at which the phase began
-	// bodyWait and writeWait are the clock.Instant at which a read of a body, or a write, began
-	// that has not ended, or 0.
-	bodyWait, writeWait atomic.Int64
-	head                int // bytes of the current head; belongs to the goroutine that reads it
+	server    *Server
+	member    *budget.Member
+	phase     atomic.Int32 // a connPhase
+	since     atomic.Int64 // clock.Instant at which the phase began
+	reading   atomic.Bool  // a part of a body is awaited
+	writeWait atomic.Int64 // clock.Instant at which a write began that has not ended, or 0
+	head      int          // bytes of the current head; belongs to the goroutine that reads it
 }
 
 // setPhase records what the server waits for.
@@ -62,8 +65,8 @@
 	// With one byte net/http learns of a caller that leaves while the handler runs; it reads
 	// bodies by longer pieces.
 	if connPhase(c.phase.Load()) == phaseRequest && len(p) > 1 {
-		c.bodyWait.Store(int64(clock.Now()))
-		defer c.bodyWait.Store(0)
+		c.reading.Store(true)
+		defer c.reading.Store(false)
 	}
 	for {
 		n, err := c.TCPConn.Read(p)
@@ -120,9 +123,9 @@
 	defer b.Release(int64(len(p)))
 	c.writeWait.Store(int64(clock.Now()))
 	defer c.writeWait.Store(0)
-	written, unread := 0, -1
+	written, left, progress := 0, math.MaxInt, clock.Now()
 	for {
-		if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(timeout / unreadChecks)); err != nil {
 			return written, err
 		}
 		n, err := c.TCPConn.Write(p[written:])
@@ -130,14 +133,14 @@
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
-		left := unacknowledged(c.TCPConn)
-		if unread >= 0 && left >= unread && n == 0 {
+		if now := unacknowledged(c.TCPConn); n > 0 || now < left {
+			left, progress = now, clock.Now()
+		}
+		if clock.Since(progress) >= timeout {
 			b.Record(budget.CauseUnread)
 			c.Close()
 			return written, err
 		}
-		unread = left
-		c.writeWait.Store(int64(clock.Now()))
 	}
 }
 
@@ -155,8 +158,8 @@
 	if t := c.writeWait.Load(); t != 0 {
 		return budget.RankUnread, clock.Instant(t)
 	}
-	if t := c.bodyWait.Load(); t != 0 {
-		return budget.RankBody, clock.Instant(t)
+	if c.reading.Load() { // since the head, so that bodies that trickle in count as waiting
+		return budget.RankBody, since
 	}
 	return budget.RankBusy, since
 }
--- a/httpserve/conn_test.go
+++ b/httpserve/conn_test.go
@@ -16,11 +16,11 @@
 // caller is a connection of a test to a server.
 type caller struct {
 	net.Conn
-	t      *testing.T
+	t      testing.TB
 	reader *bufio.Reader
 }
 
-func dial(t *testing.T, server *httpserve.Server) *caller {
+func dial(t testing.TB, server *httpserve.Server) *caller {
 	t.Helper()
 	conn, err := net.Dial("tcp", server.Addr())
 	if err != nil {
--- a/httpserve/server_test.go
+++ b/httpserve/server_test.go
@@ -15,7 +15,7 @@
 
 // listen starts a server whose handler serves the path /route by a route and every other
 // path without one. The server is closed at the end of the test.
-func listen(t *testing.T, handler http.HandlerFunc, opts httpserve.Options) *httpserve.Server {
+func listen(t testing.TB, handler http.HandlerFunc, opts httpserve.Options) *httpserve.Server {
 	t.Helper()
 	address, err := loopback.Address()
 	if err != nil {
