--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobablanding/baobablanding/clock"
+	_ "github.com/baobablanding/baobablanding/history/seed"
 )
 
 // fakeConn is a connection that waits for something since a time.
--- a/devfleet/process.go
+++ b/devfleet/process.go
@@ -25,6 +25,7 @@
 	Args []string
 
 	logPath string
+	env     []string   // environment, or nil for that of this process
 	mu      sync.Mutex // held by start and Signal
 	cmd     *exec.Cmd
 	done    chan struct{} // closed when the process has exited
@@ -41,6 +42,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(p.Args[0], p.Args[1:]...)
+	cmd.Env = p.env
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/devfleet/usage.go
+++ b/devfleet/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -109,3 +110,37 @@
 	}
 	return all
 }
+
+// Peaks are the largest values that were seen of a process.
+type Peaks struct {
+	// ResidentBytes is the resident memory in bytes.
+	ResidentBytes int64
+	// Descriptors is the number of open files.
+	Descriptors int
+}
+
+// watchInterval is the time between two readings of Watch.
+const watchInterval = 20 * time.Millisecond
+
+// Watch reads the memory and the descriptors of the process until stop is closed, and returns
+// the peaks. It fails if the process has exited by then.
+func (p *Process) Watch(stop <-chan struct{}) (Peaks, error) {
+	var peaks Peaks
+	for {
+		usage, err := p.Usage()
+		files, filesErr := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+		peaks.ResidentBytes = max(peaks.ResidentBytes, usage.ResidentBytes)
+		peaks.Descriptors = max(peaks.Descriptors, len(files))
+		if err := errors.Join(err, filesErr); err != nil {
+			return peaks, err
+		}
+		select {
+		case <-stop:
+			if p.hasExited() {
+				return peaks, fmt.Errorf("%s has exited", p.Name)
+			}
+			return peaks, nil
+		case <-time.After(watchInterval):
+		}
+	}
+}
