--- a/devfleet/entry.go
+++ b/devfleet/entry.go
@@ -1,77 +1,40 @@
 package devfleet
 
 import (
-	"fmt"
-	"net"
 	"os"
 	"path/filepath"
-	"time"
 
-	"github.com/baobablanding/baobablanding/platform"
+	"github.com/baobablanding/baobablanding/standin"
 )
 
-// EntryOptions configures an entry daemon in a process of its own.
-type EntryOptions struct {
-	// BinDir is the directory with the built programs.
-	BinDir string
-	// Dir is the directory of the settings file and the log.
-	Dir string
-	// StoreAddress is the address of the platform's store.
-	StoreAddress string
-	// MemoryMB, MaxDescriptors and UnreadTimeout are the limits in the settings.
-	MemoryMB, MaxDescriptors int
-	UnreadTimeout            time.Duration
-}
-
 // Entry is an entry daemon in a process of its own.
 type Entry struct {
 	*Process
-	// CallerAddress, ReadinessAddress, PeerAddress and MetricsAddress are its listeners;
-	// PeerAddress receives datagrams.
-	CallerAddress, ReadinessAddress, PeerAddress, MetricsAddress string
+	// Settings are those of the daemon, with its addresses.
+	Settings standin.EntrySettings
 }
 
-// entrySettings is the format of the settings file of an entry daemon.
-const entrySettings = `
-nodeName: entry-1
-ip: %q
-zone: dc-1
-listen: {front: %q, readiness: %q}
-internalPorts: [%s, %s]
-limits: {memoryMb: %d, maxFds: %d, unreadMs: %d}
-bounds: {graceS: 8, revokeMs: 30000}
-platform: {address: %q}
-`
-
-// StartEntry writes the settings file and starts the daemon. It does not wait until the daemon
-// is ready. The caller kills the process.
-func StartEntry(o EntryOptions) (*Entry, error) {
+// StartEntry starts an entry daemon from the programs in binDir, with the settings and free
+// addresses of its own. The settings file and the log are in the directory dir. StartEntry does
+// not wait until the daemon is ready. The caller kills the process.
+func StartEntry(binDir, dir string, settings standin.EntrySettings) (*Entry, error) {
 	var free addresses
-	e := &Entry{CallerAddress: free.next(), ReadinessAddress: free.next(), PeerAddress: free.next(), MetricsAddress: free.next()}
+	settings.CallerAddress, settings.ReadinessAddress = free.next(), free.next()
+	settings.PeerAddress, settings.MetricsAddress = free.next(), free.next()
 	if free.err != nil {
 		return nil, free.err
 	}
-	ip, peerPort, err := net.SplitHostPort(e.PeerAddress)
+	variable, err := settings.Write(filepath.Join(dir, "entry-1.yaml"))
 	if err != nil {
-		return nil, fmt.Errorf("peer address of the entry daemon: %w", err)
-	}
-	_, metricsPort, err := net.SplitHostPort(e.MetricsAddress)
-	if err != nil {
-		return nil, fmt.Errorf("metrics address of the entry daemon: %w", err)
-	}
-	content := fmt.Sprintf(entrySettings, ip, e.CallerAddress, e.ReadinessAddress, peerPort, metricsPort,
-		o.MemoryMB, o.MaxDescriptors, o.UnreadTimeout.Milliseconds(), o.StoreAddress)
-	path := filepath.Join(o.Dir, "entry-1.yaml")
-	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
-		return nil, fmt.Errorf("write settings of the entry daemon: %w", err)
+		return nil, err
 	}
-	program, err := programPath(o.BinDir, "baobab-entry")
+	program, err := programPath(binDir, "baobab-entry")
 	if err != nil {
 		return nil, err
 	}
-	e.Process = &Process{
-		Name: "entry-1", Args: []string{program}, logPath: filepath.Join(o.Dir, "entry-1.log"),
-		env: append(os.Environ(), platform.SettingsEnv+"="+path),
+	p := &Process{
+		Name: "entry-1", Args: []string{program}, logPath: filepath.Join(dir, "entry-1.log"),
+		env: append(os.Environ(), variable),
 	}
-	return e, e.Process.start()
+	return &Entry{Process: p, Settings: settings}, p.start()
 }
--- a/hostiletest/programs_test.go
+++ b/hostiletest/programs_test.go
@@ -112,17 +112,17 @@
 	putRow(t, store, "servers", "i-1", map[string]any{
 		"service": "svc", "address": engine.Addr(), "zone": "dc-1", "version": "v1", "slots": 64, "state": "ready", "sequence": 1, "born": 1000,
 	})
-	daemon, err := devfleet.StartEntry(devfleet.EntryOptions{
-		BinDir: binDir, Dir: t.TempDir(), StoreAddress: strings.TrimPrefix(store.URL(), "http://"),
-		MemoryMB: memoryMB, MaxDescriptors: maxDescriptors, UnreadTimeout: unreadTimeout,
+	daemon, err := devfleet.StartEntry(binDir, t.TempDir(), standin.EntrySettings{
+		StoreAddress: strings.TrimPrefix(store.URL(), "http://"),
+		MemoryMB:     memoryMB, MaxDescriptors: maxDescriptors, UnreadTimeout: unreadTimeout,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(daemon.Kill)
 	p := &program{
-		name: "entry", process: daemon.Process, callers: daemon.CallerAddress, readiness: daemon.ReadinessAddress,
-		metrics: daemon.MetricsAddress, datagrams: daemon.PeerAddress,
+		name: "entry", process: daemon.Process, callers: daemon.Settings.CallerAddress, readiness: daemon.Settings.ReadinessAddress,
+		metrics: daemon.Settings.MetricsAddress, datagrams: daemon.Settings.PeerAddress,
 	}
 	p.ask = func() error { return askEntry(p) }
 	eventually(t, "the entry daemon answers", p.ask)
