--- a/peer/serverconn.go
+++ b/peer/serverconn.go
@@ -10,7 +10,7 @@
 )
 
 // callCost is the memory that a call takes beside its parameters: its goroutine and response.
-const callCost = 16 << 10
+const callCost = 32 << 10
 
 // errNoRoom ends a connection whose message finds no room in the budget.
 var errNoRoom = errors.New("peer: no room for the message")
