Trials: leases are used at once, and a pass stops at the first failed call; late jobs start only the trial

Leases last 3 s but were published after the calls for all sets of segments, each of which may take 2 s; a job that is late and has a trial started its other items too, before those of other daemons that can finish on time. Change: publication after each lease, the pass ends at the first call that the store does not answer, a late job starts one item.

--- a/controller/jobs/schedule.go
+++ b/controller/jobs/schedule.go
@@ -102,12 +102,14 @@
 		return c.compareNext(a.waiting[0], b.waiting[0], now)
 	})
 	for _, o := range jobs {
-		first := o.waiting[0]
-		if !c.dueJob(first).CanFinishOnTime(now) && c.board.PeersWithBatchDemand.Load() > 0 && !c.wouldBeTrial(first) {
-			continue // leave the slots to other daemons, whose items can finish on time
+		// A late job leaves the slots to other daemons, whose items can finish on time. It
+		// starts no more than a trial.
+		isLate := !c.dueJob(o.waiting[0]).CanFinishOnTime(now) && c.board.PeersWithBatchDemand.Load() > 0
+		if isLate && !c.wouldBeTrial(o.waiting[0]) {
+			continue
 		}
 		for len(o.waiting) > 0 && c.running < maxRunningItems {
-			if !c.startItem(ctx, o) {
+			if !c.startItem(ctx, o) || isLate {
 				break
 			}
 		}
--- a/controller/trials/trials.go
+++ b/controller/trials/trials.go
@@ -71,6 +71,10 @@
 		wait := maxWait
 		for _, set := range held.Value.Sets {
 			wait = min(wait, c.takeDue(ctx, set))
+			if c.failing { // each further call may take as long to fail
+				wait = retryTime
+				break
+			}
 		}
 		c.publish()
 		timer := time.NewTimer(max(wait, time.Millisecond))
@@ -110,6 +114,7 @@
 		return min(wait, maxWait)
 	}
 	c.take(ctx, set)
+	c.publish() // a lease must be used soon, and the calls for other sets may take long
 	return 0
 }
 
