--- a/controller/jobs/run.go
+++ b/controller/jobs/run.go
@@ -134,11 +134,10 @@
 	if resp.RecordLeaving(r.engine) {
 		c.logItem(r.itemState, r.engine, nil).Int("status", resp.Status).Msg("engine shuts down and gets no more items")
 	}
+	resp.RecordPace(r.engine)
 	if resp.NotRun || resp.Misdirected {
-		resp.RecordRefusal(r.engine)
 		return notRun, nil
 	}
-	resp.RecordLoad(r.engine)
 	switch {
 	case resp.Class == relay.Unprocessable:
 		return unprocessable, nil
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -164,7 +164,7 @@
 		r.logAttempt(a.engine, "leaving").Int("status", response.Status).Msg("engine shuts down and gets no more requests")
 	}
 	if response.NotRun || response.Misdirected {
-		response.RecordRefusal(a.engine)
+		response.RecordPace(a.engine)
 		return r.rejected(a.engine, response)
 	}
 	r.runs++
--- a/relay/request.go
+++ b/relay/request.go
@@ -126,16 +126,16 @@
 	switch {
 	case r.Running < 0:
 	case r.Pace > 0:
-		engine.Load.OwnPace.Record(int64(r.Pace), clock.Now())
+		r.RecordPace(engine)
 	default:
 		engine.Load.OwnReport.Record(int64(r.Running+r.Waiting), clock.Now())
 	}
 }
 
-// RecordRefusal records the pace that the engine reported with a refusal.
-func (r *Response) RecordRefusal(engine *blackboard.Engine) {
+// RecordPace records the pace that the engine reported, but not its number of requests.
+func (r *Response) RecordPace(engine *blackboard.Engine) {
 	if r.Pace > 0 && !r.Misdirected {
-		r.RecordLoad(engine)
+		engine.Load.OwnPace.Record(int64(r.Pace), clock.Now())
 	}
 }
 
