--- a/controller/loads/capacity.go
+++ b/controller/loads/capacity.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/baobablanding/baobablanding/blackboard"
-	"github.com/baobablanding/baobablanding/catalog"
 	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/peer"
 	"github.com/baobablanding/baobablanding/policy/capacity"
@@ -39,13 +38,11 @@
 	byEngine  map[*blackboard.EngineLoad]*engineEstimate
 	paceUntil map[string]clock.Instant // by service: until when its engines are compared
 	median    map[string]float64       // by service: median pace
-	usual     map[string]float64       // by service: last inter-event interval of the median engine, in ns
 }
 
 func newEstimates() estimates {
 	return estimates{
 		byEngine: make(map[*blackboard.EngineLoad]*engineEstimate), paceUntil: make(map[string]clock.Instant), median: make(map[string]float64),
-		usual: make(map[string]float64),
 	}
 }
 
@@ -111,7 +108,7 @@
 }
 
 // update measures all engines and publishes how slow they are.
-func (s *estimates) update(engines *blackboard.Engines, cat *catalog.Catalog, now clock.Instant) {
+func (s *estimates) update(engines *blackboard.Engines, now clock.Instant) {
 	if len(s.byEngine) > len(engines.All) {
 		s.forgetGone(engines)
 	}
@@ -124,7 +121,7 @@
 	}
 	for service := range services {
 		if s.isCompared(service, now) {
-			s.updateService(service, engines.OfService(service), cat, now)
+			s.updateService(service, engines.OfService(service), now)
 			continue
 		}
 		for _, e := range engines.OfService(service) {
@@ -143,7 +140,7 @@
 }
 
 // updateService measures the engines of one service and publishes how slow they are.
-func (s *estimates) updateService(service string, engines []*blackboard.Engine, cat *catalog.Catalog, now clock.Instant) {
+func (s *estimates) updateService(service string, engines []*blackboard.Engine, now clock.Instant) {
 	paces := make([]float64, len(engines))
 	estimates := make([]*engineEstimate, len(engines))
 	var intervals []float64
@@ -157,7 +154,6 @@
 	median, _ := capacity.Median(paces)
 	s.median[service] = median
 	if usual, ok := capacity.Median(intervals); ok {
-		s.usual[service] = usual
 		for i, e := range engines {
 			estimates[i].measure(e, usual, median, now)
 		}
--- a/controller/loads/sum.go
+++ b/controller/loads/sum.go
@@ -32,7 +32,7 @@
 	c.dropStale(roster, now)
 	t := c.totals(roster)
 	c.board.PeerReportAge.Store(int64(t.meanAge(roster)))
-	c.estimates.update(c.board.Engines.Value(), c.board.Catalog.Value(), now)
+	c.estimates.update(c.board.Engines.Value(), now)
 	c.publishPaced(now)
 	c.logSlow(c.board.Engines.Value(), now)
 	c.applyFailures(t.failures, now)
