--- a/review/tools-2/cases.go
+++ b/review/standins-2/cases_test.go
@@ -1,7 +1,11 @@
-package main
+//go:build review
+
+package cases
 
 import (
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -276,3 +280,77 @@
 	f.logf("%d requests reached a draining engine later than drainMs", late)
 	return late > 0, nil
 }
+
+// deadlyTurn: a part of prompts that engines answered a moment ago begins to crash each engine that
+// begins to write an answer on it. With FRESH=1 no engine has answered it before.
+func deadlyTurn(f *fleet, trouble bool) (broken bool, err error) {
+	const (
+		host, prefix = "nony24.example", "/lohu930/"
+		part, others = "5c1e07a2", "91bd3f06"
+		soundTime    = 4 * time.Second
+		deadlyTime   = 22 * time.Second // the longest that the news page names
+		requestTime  = 33 * time.Millisecond
+		everyNth     = 20 // share 0.05
+		allowed      = 3
+	)
+	fresh := os.Getenv("FRESH") == "1"
+	f.config = newConfig(route("r-main", host, prefix, "streaming", nil))
+	daemons, err := f.startAll(3)
+	if err != nil {
+		return false, err
+	}
+	for _, id := range []string{"i-5e0b77d1", "i-88d2f0ce", "i-c3c3a01f", "i-09aa41b7", "i-e1f2d3c4", "i-40b86d11", "i-7d7d0e52", "i-2c9f8a30", "i-b6a5c410", "i-f08e1122"} {
+		if _, err := f.startEngine(id, mainService); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(contact)
+	var calls sync.WaitGroup
+	send := func(n int, first string) {
+		calls.Go(func() {
+			id := "9c41d07be2a" + strconv.Itoa(10000+n)
+			daemons[n%len(daemons)].call(http.MethodPost, host, prefix+"2f", apiKey, id, map[string]string{
+				"Deadline-Ms": "5000", "Model": "m", "Token-Count": "340,20", "Prompt-Prefix": first + ":100," + id + ":240",
+			}, []byte("question "+id))
+		})
+		time.Sleep(requestTime)
+	}
+	n := 0
+	for begin := time.Now(); time.Since(begin) < soundTime; n++ {
+		first := others
+		if !fresh && n%2 == 0 {
+			first = part
+		}
+		send(n, first)
+	}
+	if trouble {
+		f.deadlyPart.Store(part)
+		f.logf("part %s crashes each engine that begins to write an answer on it", part)
+	}
+	for begin := time.Now(); time.Since(begin) < deadlyTime; n++ {
+		first := others
+		if n%everyNth == 0 {
+			first = part
+		}
+		send(n, first)
+	}
+	f.deadlyPart.Store("")
+	calls.Wait()
+	var crashes []time.Time
+	for _, e := range f.engines {
+		crashes = append(crashes, e.crashes...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	f.logf("%d crashes of engines", len(crashes))
+	if len(crashes) < 5 {
+		return false, nil
+	}
+	late := 0
+	for _, r := range f.runsInOrder() {
+		if strings.HasPrefix(r.prefix, part) && r.at.After(crashes[4].Add(contact)) {
+			late++
+		}
+	}
+	f.logf("%d requests with the part reached engines later than contactMs after the fifth crash; allowed %d", late, allowed)
+	return late > allowed, nil
+}
--- a/review/tools-2/fleet.go
+++ b/review/standins-2/fleet_test.go
@@ -1,4 +1,6 @@
-package main
+//go:build review
+
+package cases
 
 import (
 	"bytes"
@@ -14,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -33,6 +36,8 @@
 	storeAddr string
 	client    *http.Client
 
+	deadlyPart atomic.Value // id of the part of prompts that crashes engines, a string
+
 	mu       sync.Mutex
 	record   *os.File
 	started  time.Time
