relay: one rule for the workspace of a batch job

Cause: a submission took the workspace from route and key, and ignored the key on public routes. The later calls have no route and took it from the key alone. Jobs are stored under their workspace. The same two rules lost jobs when a route turned private and when the first workspaces of a configuration came or the last ones went while jobs were open, and accepted a repetition as a second job.

Change: batch jobs need a valid key on every route (Identity.needsKey); without one they are refused as not run. Jobs that were accepted while the configuration had no workspaces, or before it lost them, are found by later calls and by repeated submissions (relay/jobkey.go).

--- a/blackboard/jobs.go
+++ b/blackboard/jobs.go
@@ -21,6 +21,21 @@
 // All returns the heads of all jobs. The caller must not modify the map.
 func (j *Jobs) All() map[job.Key]*job.VersionedHead { return j.byKey }
 
+// FindID returns the key of the job with the ID, whichever its workspace. It reports false if there
+// is none, or jobs of several workspaces have the ID.
+func (j *Jobs) FindID(id string) (found job.Key, ok bool) {
+	for key := range j.byKey {
+		if key.ID != id {
+			continue
+		}
+		if ok {
+			return job.Key{}, false
+		}
+		found, ok = key, true
+	}
+	return found, ok
+}
+
 // RecordHead publishes a head that this daemon wrote or read outside the regular
 // reads, unless the board holds the same or a newer version. It may be called
 // from several goroutines.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -66,7 +66,8 @@
 	// MaxAttempts is the largest number of attempts of a request, at least 1. Rejected
 	// attempts do not count, nor do interrupted attempts of a batch item.
 	MaxAttempts int
-	// Open reports whether callers need no key.
+	// Open reports whether callers need no key for online requests. Batch jobs need one on
+	// every route.
 	Open bool
 	// Resumable reports whether another engine may continue a broken stream.
 	Resumable bool
@@ -229,7 +230,7 @@
 // Workspaces returns all workspaces by name. The caller must not modify the map.
 func (c *Catalog) Workspaces() map[string]*Workspace { return c.workspaces }
 
-// RequiresKeys reports whether requests need a key unless their route is open: the
+// RequiresKeys reports whether callers need a key, but for online requests on open routes: the
 // configuration defines workspaces.
 func (c *Catalog) RequiresKeys() bool { return len(c.workspaces) > 0 }
 
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -61,9 +61,9 @@
 	return identity, identity.authenticate(key)
 }
 
-// IdentifyWorkspace returns the workspace of a call that belongs to no route. It
-// fails as Identify does.
-func (s *Server) IdentifyWorkspace(key string) (*Identity, error) {
+// IdentifyForJob returns the workspace of a call about a batch job, which belongs to no route. It
+// is that of the key, as for the submission of the job. IdentifyForJob fails as Identify does.
+func (s *Server) IdentifyForJob(key string) (*Identity, error) {
 	cat, err := s.currentCatalog()
 	if err != nil {
 		return nil, err
@@ -96,10 +96,9 @@
 	return result.New(code, result.NotRun).WithRetryAfter(wait).WithRetryElsewhere()
 }
 
-// authenticate sets the workspace of the key. It does nothing on open routes and
-// where the configuration has no keys.
+// authenticate sets the workspace of the key. It does nothing where none is needed.
 func (i *Identity) authenticate(key string) error {
-	if !i.Catalog.RequiresKeys() || i.Route != nil && i.Route.Open {
+	if !i.needsKey() {
 		return nil
 	}
 	if key == "" {
@@ -111,6 +110,14 @@
 	return nil
 }
 
+// needsKey reports whether the caller has to send a valid key. That depends on the route only for
+// online requests: the calls about a batch job have no route, so that they would not find a job
+// whose workspace depends on it.
+func (i *Identity) needsKey() bool {
+	isOpen := i.Route != nil && i.Route.Open && i.Route.Kind != catalog.KindBatch
+	return i.Catalog.RequiresKeys() && !isOpen
+}
+
 // takeToken takes one token of the workspace's rate. It waits up to maxTokenWait
 // for tokens that the daemon is getting from the store, and for the limiter of a
 // workspace that is new in the configuration.
--- a/relay/jobs.go
+++ b/relay/jobs.go
@@ -67,10 +67,14 @@
 	if err := j.checkStoreAvailable(); err != nil {
 		return err
 	}
+	if inherited, ok := j.inheritedJob(identity, id); ok {
+		j.log.Info().Str("job", id).Str("workspace", inherited.Workspace).Msg("batch job was accepted under an earlier configuration")
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	s := &job.Submission{
-		Key: job.Key{Workspace: identity.WorkspaceName(), ID: id}, Route: identity.Route.Name, Owner: j.self.Incarnation,
+		Key: identity.jobKey(id), Route: identity.Route.Name, Owner: j.self.Incarnation,
 		DueAfter: identity.Route.CompletionTarget, MaxWaitingTokens: identity.Route.MaxWaitingTokens, Items: items,
 	}
 	err := j.ledger.Accept(ctx, s)
@@ -86,10 +90,18 @@
 	return nil
 }
 
-// Results returns the job's results from the position after on. If there are none yet,
-// it waits for up to wait and then returns an empty page. It does not wait for a job
-// that has ended.
-func (j *JobServer) Results(ctx context.Context, key job.Key, after int, wait time.Duration) (job.Page, error) {
+// Results returns the results of the caller's job from the position after on. If there are
+// none yet, it waits for up to wait and then returns an empty page. It does not wait for a
+// job that has ended.
+func (j *JobServer) Results(ctx context.Context, identity *Identity, id string, after int, wait time.Duration) (page job.Page, err error) {
+	err = j.withJob(identity, id, func(key job.Key) error {
+		page, err = j.results(ctx, key, after, wait)
+		return err
+	})
+	return page, err
+}
+
+func (j *JobServer) results(ctx context.Context, key job.Key, after int, wait time.Duration) (job.Page, error) {
 	deadline := clock.Now().Add(wait)
 	for {
 		if err := j.checkStoreAvailable(); err != nil {
@@ -126,8 +138,7 @@
 // head returns the job's head from the board if the board has it and its jobs were read
 // from the store less than maxHeadAge ago. Otherwise it reads the head from the store.
 func (j *JobServer) head(ctx context.Context, jobs *blackboard.Jobs, key job.Key) (*job.VersionedHead, error) {
-	recent := clock.Since(clock.Instant(j.board.JobsReadAt.Load())) < maxHeadAge
-	if known := jobs.Get(key); known != nil && recent {
+	if known := jobs.Get(key); known != nil && j.headsAreRecent() {
 		return known, nil
 	}
 	head, err := j.ledger.Head(ctx, key)
@@ -153,8 +164,16 @@
 	return err
 }
 
-// ItemBody returns the body of one item of the job, or a NotFound error.
-func (j *JobServer) ItemBody(ctx context.Context, key job.Key, item string) ([]byte, error) {
+// ItemBody returns the body of one item of the caller's job, or a NotFound error.
+func (j *JobServer) ItemBody(ctx context.Context, identity *Identity, id, item string) (body []byte, err error) {
+	err = j.withJob(identity, id, func(key job.Key) error {
+		body, err = j.itemBody(ctx, key, item)
+		return err
+	})
+	return body, err
+}
+
+func (j *JobServer) itemBody(ctx context.Context, key job.Key, item string) ([]byte, error) {
 	if err := j.checkStoreAvailable(); err != nil {
 		return nil, err
 	}
@@ -174,9 +193,13 @@
 	return nil, result.New(result.NotFound, result.NotRun)
 }
 
-// End ends the job, which then takes no further results. Ending a job again changes
+// End ends the caller's job, which then takes no further results. Ending a job again changes
 // nothing.
-func (j *JobServer) End(ctx context.Context, key job.Key) error {
+func (j *JobServer) End(ctx context.Context, identity *Identity, id string) error {
+	return j.withJob(identity, id, func(key job.Key) error { return j.end(ctx, key) })
+}
+
+func (j *JobServer) end(ctx context.Context, key job.Key) error {
 	if err := j.checkStoreAvailable(); err != nil {
 		return err
 	}
