directory: order engines' rows by start and sequence number

Cause: the row that came last was taken for the state of the engine. The store may perform a write late whose response was lost, so that an earlier heartbeat (ready, lower sequence) follows the one that says draining. Nothing read sequence or compared born.

Change: a row is ignored if the engine wrote another one after it, also while the engine is gone or its row was odd. A new start under the same ID is used at once. The log lines have start and sequence.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -241,6 +241,8 @@
 	ID string
 	// StartedAtMs is the Unix time at which the engine started, in ms since 1970.
 	StartedAtMs int64
+	// Sequence is the number of the registration among those of this start of the engine.
+	Sequence int64
 	// Service is the name of the service that the engine belongs to.
 	Service string
 	// Version is the version of the engine's program or model, or "" if its row has none.
@@ -257,3 +259,12 @@
 	// read, or 0 for a warm engine.
 	ColdRemaining time.Duration
 }
+
+// IsOlderThan reports whether the engine wrote this registration before the other one. The store
+// may perform writes in another order than the engine sent them.
+func (e *Engine) IsOlderThan(other *Engine) bool {
+	if e.StartedAtMs != other.StartedAtMs {
+		return e.StartedAtMs < other.StartedAtMs
+	}
+	return e.Sequence < other.Sequence
+}
--- a/controller/directory/engines.go
+++ b/controller/directory/engines.go
@@ -37,6 +37,8 @@
 	controller *Controller
 	byID       map[string]*blackboard.Engine
 	removed    map[string]removedEngine // by id
+	late       map[string]*lateRow      // by id of the engine
+	appliedAt  clock.Instant            // when the last read was applied
 	// graceUntil is until when an engine is kept whose row is gone in the read that is
 	// applied now, or 0 if its removal is final.
 	graceUntil clock.Instant
@@ -53,11 +55,17 @@
 const removedRetention = 10 * time.Minute
 
 func newSet(c *Controller) *engineSet {
-	return &engineSet{controller: c, byID: make(map[string]*blackboard.Engine), removed: make(map[string]removedEngine)}
+	return &engineSet{
+		controller: c, byID: make(map[string]*blackboard.Engine), removed: make(map[string]removedEngine),
+		late: make(map[string]*lateRow), appliedAt: clock.Now(),
+	}
 }
 
 // apply updates the engines from one read and publishes them if they changed.
-func (e *engineSet) apply(update store.TableUpdate) {
+func (e *engineSet) apply(update store.TableUpdate) { e.applyAt(clock.Now(), update) }
+
+// applyAt applies a read that arrived at the instant now.
+func (e *engineSet) applyAt(now clock.Instant, update store.TableUpdate) {
 	changed := false
 	if update.WholeTable {
 		changed = e.removeMissing(update.Rows)
@@ -72,6 +80,8 @@
 		}
 		changed = e.put(row) || changed
 	}
+	changed = e.believeLate(now) || changed
+	e.appliedAt = now
 	e.forgetRemoved()
 	if e.expireMissing() || changed {
 		e.publish()
@@ -91,6 +101,7 @@
 			changed = e.remove(id) || changed
 		}
 	}
+	maps.DeleteFunc(e.late, func(id string, _ *lateRow) bool { return !present[id] })
 	return changed
 }
 
@@ -98,6 +109,7 @@
 // the store was unavailable. An engine that was draining is dropped in any case. It reports
 // whether the engine changed.
 func (e *engineSet) remove(id string) bool {
+	delete(e.late, id)
 	engine, ok := e.byID[id]
 	if !ok || engine.MissingUntil != 0 { // expireMissing drops it in time
 		return false
@@ -116,6 +128,7 @@
 // removeOdd drops the engine whose row cannot be decoded. It reports whether the engine was
 // known.
 func (e *engineSet) removeOdd(id string) bool {
+	delete(e.late, id)
 	engine, ok := e.byID[id]
 	if ok {
 		e.drop(engine)
@@ -165,13 +178,22 @@
 }
 
 // put adds or updates the engine of the row and reports whether the engines must be
-// published again. A row that cannot be decoded removes its engine.
+// published again. A row that cannot be decoded removes its engine. A late row changes nothing.
 func (e *engineSet) put(row store.Row) bool {
 	spec, err := e.controller.decoder.Engine(row)
 	if err != nil {
 		e.controller.log.Warn().Int64("row_version", row.Version).Err(err).Msg("cannot decode engine row")
 		return e.removeOdd(row.Name)
 	}
+	if e.isLate(row, spec) {
+		return false
+	}
+	delete(e.late, spec.ID)
+	return e.register(spec)
+}
+
+// register adds or updates the engine and reports whether the engines must be published again.
+func (e *engineSet) register(spec *catalog.Engine) bool {
 	now := clock.Now()
 	engine := &blackboard.Engine{Engine: spec, Load: e.lastLoad(spec)}
 	if engine.Load == nil {
@@ -184,11 +206,12 @@
 	e.byID[spec.ID] = engine
 	if old == nil || old.StartedAtMs != spec.StartedAtMs {
 		e.controller.log.Info().Str("engine", spec.ID).Str("service", spec.Service).Str("data_centre", spec.DataCentre).
+			Int64("started_at_ms", spec.StartedAtMs).Int64("sequence", spec.Sequence).
 			Bool("draining", spec.Draining).Dur("cold_for", spec.ColdRemaining).Msg("engine registered")
 		return true
 	}
 	if spec.Draining != old.Draining {
-		e.controller.log.Info().Str("engine", spec.ID).Bool("draining", spec.Draining).Msg("engine draining state changed")
+		e.controller.log.Info().Str("engine", spec.ID).Bool("draining", spec.Draining).Int64("sequence", spec.Sequence).Msg("engine draining state changed")
 	}
 	return spec.Draining != old.Draining || spec.Address != old.Address || spec.Version != old.Version || spec.Slots != old.Slots ||
 		old.MissingUntil != 0 || engine.IsCold(now) != old.IsCold(now) || spec.ColdRemaining > 0
--- a/controller/directory/engines_test.go
+++ b/controller/directory/engines_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +16,8 @@
 	"github.com/baobablanding/baobablanding/store"
 )
 
-// fakeDecoder decodes rows of engines whose values are start times of one digit.
+// fakeDecoder decodes rows of engines whose values are a start time, a sequence number, which may
+// be missing, and "draining" for an engine that is.
 type fakeDecoder struct{ Decoder }
 
 var errOdd = errors.New("odd row")
@@ -23,7 +26,14 @@
 	if string(row.Value) == "odd" {
 		return nil, errOdd
 	}
-	return &catalog.Engine{ID: row.Name, StartedAtMs: int64(row.Value[0] - '0'), Slots: 8}, nil
+	fields := strings.Fields(string(row.Value) + " 0")
+	spec := &catalog.Engine{ID: row.Name, Slots: 8, Draining: strings.HasSuffix(string(row.Value), "draining")}
+	var err error
+	if spec.StartedAtMs, err = strconv.ParseInt(fields[0], 10, 64); err != nil {
+		return nil, err
+	}
+	spec.Sequence, err = strconv.ParseInt(fields[1], 10, 64)
+	return spec, err
 }
 
 // newEngineSet returns a set with the engines a and b, each in its first start.
--- a/entrytest/leaving_test.go
+++ b/entrytest/leaving_test.go
@@ -135,3 +135,45 @@
 		t.Errorf("%d of 20 requests were sent to an engine that leaves according to another daemon", n)
 	}
 }
+
+// TestDrainingEngineGetsNothingAfterALateHeartbeat guards against requests to an engine that
+// reported that it drains, because the store performs an earlier heartbeat of it late, and against
+// an engine that is not used after it started again under its ID.
+func TestDrainingEngineGetsNothingAfterALateHeartbeat(t *testing.T) {
+	for name, gone := range map[string]bool{"draining": false, "gone": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			e := f.startEngine("i-1", stream)
+			f.startEngine("i-2", stream)
+			d := f.start("entry-1")
+			write := func(state string, born int64, sequence int) {
+				row := engineRow(e, state, 0, born)
+				row["sequence"] = sequence
+				f.put("servers", e.id, row)
+			}
+			requestsOf := func(duration time.Duration) int {
+				before := e.count()
+				for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					if got := d.send(t.Context(), t, request{path: "/once/a", key: key}); got.status != http.StatusOK {
+						t.Errorf("status %d, want 200", got.status)
+					}
+				}
+				return e.count() - before
+			}
+			eventually(t, "the engine is used", func() bool { return requestsOf(100*time.Millisecond) > 0 })
+			write("draining", 1000, 9)
+			if gone {
+				time.Sleep(rowReadTime)
+				f.store.RemoveRow("servers", "", e.id)
+			}
+			time.Sleep(rowReadTime)
+			write("ready", 1000, 7)
+			if n := requestsOf(2 * rowReadTime); n > 0 {
+				t.Errorf("the engine got %d requests after a late heartbeat, want none", n)
+			}
+			write("ready", 2000, 1)
+			eventually(t, "the next start of the engine is used", func() bool { return requestsOf(100*time.Millisecond) > 0 })
+		})
+	}
+}
