httpserve: the end of an answer without a length needs a whole request

Cause: a reset is told to one system call. If the write of the request meets it, the read of the answer ends like that of a closed connection, which is the end of such an answer.

Change: httpserve.transport, which all clients use, follows the write of each request. The end of an answer without a length is an error unless the whole request was written. Requests, streams, items and the agents' upstreams then take the ways they have for an attempt that broke off.

--- a/agent/forward_test.go
+++ b/agent/forward_test.go
@@ -91,10 +91,16 @@
 }
 
 func forwardOnce(t *testing.T, up *fleet.Upstream, stream bool) (result.Code, result.Verdict) {
+	t.Helper()
+	return forwardBody(t, up, stream, []byte("{}"))
+}
+
+// forwardBody sends a request with the body and returns the code of its error, or 0, and the verdict.
+func forwardBody(t *testing.T, up *fleet.Upstream, stream bool, body []byte) (result.Code, result.Verdict) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	req := &peer.RunRequest{ID: testRequestID, Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}"), Stream: stream, Idempotent: true}
+	req := &peer.RunRequest{ID: testRequestID, Method: http.MethodPost, Path: "/v1/completions", Body: body, Stream: stream, Idempotent: true}
 	_, err := newForwarder().forward(ctx, up, req, func(peer.Chunk) error { return nil })
 	if err == nil {
 		return 0, result.Answered
@@ -103,6 +109,34 @@
 	return e.Code, e.Verdict
 }
 
+// TestTroubledAnswerOfAnUpstreamIsNoResponse guards against a part of a response that passes for the
+// whole one because the upstream reset the connection while the request was written.
+func TestTroubledAnswerOfAnUpstreamIsNoResponse(t *testing.T) {
+	const tries = 10
+	answers := map[string]func(conn *net.TCPConn, r *http.Request){
+		"cut": func(conn *net.TCPConn, _ *http.Request) {
+			loopback.CutAnswer(conn, rawResponse(200, -1, "", "part of an answer "), 10*time.Millisecond)
+		},
+		"cut stream": func(conn *net.TCPConn, _ *http.Request) {
+			loopback.CutAnswer(conn, rawResponse(200, -1, "", "data: {}\n\ndata: [DONE]\n\n"), 10*time.Millisecond)
+		},
+	}
+	for name, answer := range answers {
+		server, err := loopback.NewRawServer(answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer server.Close()
+		up := &fleet.Upstream{Name: testUpstream, Kind: fleet.KindService, URL: "http://" + server.Address()}
+		for range tries {
+			code, verdict := forwardBody(t, up, name == "cut stream", make([]byte, 4<<20))
+			if code != result.AnswerIncomplete && code != result.OutcomeUnknown || verdict != result.MayHaveRun {
+				t.Errorf("%s: got %v with verdict %v, want an incomplete or unknown outcome that may have run", name, code, verdict)
+			}
+		}
+	}
+}
+
 func unusedAddress(t *testing.T) string {
 	t.Helper()
 	address, err := loopback.Address()
--- a/httpserve/client.go
+++ b/httpserve/client.go
@@ -18,8 +18,9 @@
 )
 
 // NewClient returns an HTTP client with its own connection pool, which is safe for
-// concurrent use and does not follow redirects. The name identifies the remote service
-// to go-zero. Its circuit breaker is disabled for the name, since the gateways decide
+// concurrent use and does not follow redirects. A response without a length
+// ends with an error if it may have broken off. The
+// name identifies the remote service to go-zero. Its circuit breaker is disabled for the name, since the gateways decide
 // when an upstream gets no requests.
 func NewClient(name string) httpc.Service {
 	service, _ := NewClientWithCloseIdle(name)
@@ -51,9 +52,10 @@
 
 // newHTTPClient returns a client with its own connection pool, or with singleUse one
 // that opens a new connection for each request. timeout limits the time to establish a
-// connection.
+// connection. The end of a response without a length before the whole request was written is
+// an error.
 func newHTTPClient(singleUse bool, timeout time.Duration) *http.Client {
-	transport := &http.Transport{
+	base := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
@@ -63,7 +65,7 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	return &http.Client{
-		Transport:     transport,
+		Transport:     &transport{base},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- /dev/null
+++ b/httpserve/transport.go
@@ -0,0 +1,109 @@
+package httpserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// errBrokenOff reports a response without a length whose connection ended before the whole
+// request was written.
+var errBrokenOff = errors.New("httpserve: response broke off while the request was written")
+
+// transport is an http.Transport that returns no part of a response as a whole one.
+type transport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	written := newRequestWrite()
+	resp, err := t.Transport.RoundTrip(req.WithContext(written.trace(req.Context())))
+	if err != nil {
+		return nil, err
+	}
+	if EndsWithConnection(resp) {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, written: written, ctx: req.Context()}
+	}
+	return resp, nil
+}
+
+// EndsWithConnection reports whether the body of the response has neither a length nor chunks, so
+// that it ends where its connection ends.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// unframedBody is the body of a response that ends with its connection. The end of the connection
+// is told to one system call only: after a reset that a write of the request met, a read shows a
+// plain end. The body is whole only if the whole request was written.
+type unframedBody struct {
+	io.ReadCloser
+	written *requestWrite
+	ctx     context.Context // of the request
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	// net/http has closed the connection, so that a write that still waits ends too.
+	if writeErr := b.written.wait(b.ctx); writeErr != nil {
+		return n, fmt.Errorf("%w: %w", errBrokenOff, writeErr)
+	}
+	return n, io.EOF
+}
+
+// requestWrite tells how the write of a request ended.
+type requestWrite struct {
+	mu    sync.Mutex
+	ended chan struct{} // closed when err is set
+	err   error
+}
+
+func newRequestWrite() *requestWrite { return &requestWrite{ended: make(chan struct{})} }
+
+// trace returns a context for the request, which makes net/http report the write.
+func (w *requestWrite) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { w.begin() },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { w.end(info.Err) },
+	})
+}
+
+// begin forgets an earlier write: net/http sends a request again if a pooled connection failed.
+func (w *requestWrite) begin() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended, w.err = make(chan struct{}), nil
+}
+
+func (w *requestWrite) end(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.ended: // the write on an earlier connection ended late
+	default:
+		w.err = err
+		close(w.ended)
+	}
+}
+
+// wait waits for the end of the write and returns its error, or that of ctx if it ends first.
+func (w *requestWrite) wait(ctx context.Context) error {
+	w.mu.Lock()
+	ended := w.ended
+	w.mu.Unlock()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
