httpserve: a status that is not from 200 to 599 is no answer

Cause: statuses were classed by thresholds, everything below 300 as a success. net/http returns every status of three digits, and 101, as a final answer.

Callers saw: an engine's answer of 000 or 099 made the entry daemon fail while it wrote the status, so that requests that may be repeated got no other engine, and an item was not completed. Agents passed 000, 099, 101, 600 and 999 on.

Change: httpserve.transport closes the connection and returns an error. Each path treats that as an engine in trouble which may have run the request.

Endless interim answers ended with an error before too.

--- a/agent/forward_test.go
+++ b/agent/forward_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -110,7 +111,8 @@
 }
 
 // TestTroubledAnswerOfAnUpstreamIsNoResponse guards against a part of a response that passes for the
-// whole one because the upstream reset the connection while the request was written.
+// whole one because the upstream reset the connection while the request was written, and against a
+// status that no response may have.
 func TestTroubledAnswerOfAnUpstreamIsNoResponse(t *testing.T) {
 	const tries = 10
 	answers := map[string]func(conn *net.TCPConn, r *http.Request){
@@ -121,6 +123,12 @@
 			loopback.CutAnswer(conn, rawResponse(200, -1, "", "data: {}\n\ndata: [DONE]\n\n"), 10*time.Millisecond)
 		},
 	}
+	for _, status := range []int{0, 99, 101, 600, 999} {
+		answers[fmt.Sprintf("status %03d", status)] = func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, strings.Replace(rawResponse(200, 2, "", "{}"), "200", fmt.Sprintf("%03d", status), 1))
+		}
+	}
 	for name, answer := range answers {
 		server, err := loopback.NewRawServer(answer)
 		if err != nil {
--- a/entrytest/cutanswers_test.go
+++ b/entrytest/cutanswers_test.go
@@ -76,11 +76,25 @@
 	loopback.CutAnswer(conn, head+"part of an answer ", cutWait)
 }
 
+// badStatus returns a whole answer of one event with the status.
+func badStatus(status string) func(conn *net.TCPConn, r *http.Request) {
+	return func(conn *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		body := event(firstEvent(r))
+		head := strings.Replace(rawHead(r, fmt.Sprintf("Content-Length: %d", len(body))), "200", status, 1)
+		_, _ = io.WriteString(conn, head+body)
+	}
+}
+
 // TestTroubledAnswerIsNeverTakenForAWholeOne guards against a part of an answer that callers get as
-// the whole one, because the engine reset the connection while the request was still written. Requests that may be repeated get the answer of
+// the whole one, because the engine reset the connection while the request was still written, and
+// against an answer with a status that is none. Requests that may be repeated get the answer of
 // another engine, and an item its whole output.
 func TestTroubledAnswerIsNeverTakenForAWholeOne(t *testing.T) {
 	troubles := map[string]func(conn *net.TCPConn, r *http.Request){"cut stream": cutAnswer, "cut body": cutBody}
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		troubles["status "+status] = badStatus(status)
+	}
 	whole := eventsFrom(1)
 	for name, trouble := range troubles {
 		t.Run(name, func(t *testing.T) {
--- a/httpserve/client.go
+++ b/httpserve/client.go
@@ -18,8 +18,8 @@
 )
 
 // NewClient returns an HTTP client with its own connection pool, which is safe for
-// concurrent use and does not follow redirects. A response without a length
-// ends with an error if it may have broken off. The
+// concurrent use and does not follow redirects. It returns no response with a status that is not
+// from 200 to 599, and fails at the end of one without a length if that may have broken off. The
 // name identifies the remote service to go-zero. Its circuit breaker is disabled for the name, since the gateways decide
 // when an upstream gets no requests.
 func NewClient(name string) httpc.Service {
@@ -52,8 +52,8 @@
 
 // newHTTPClient returns a client with its own connection pool, or with singleUse one
 // that opens a new connection for each request. timeout limits the time to establish a
-// connection. The end of a response without a length before the whole request was written is
-// an error.
+// connection. A response with a status that is not from 200 to 599 is an error, and so is the
+// end of a response without a length before the whole request was written.
 func newHTTPClient(singleUse bool, timeout time.Duration) *http.Client {
 	base := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
--- a/httpserve/client_test.go
+++ b/httpserve/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -83,3 +84,26 @@
 		}
 	}
 }
+
+// TestStatusThatIsNotFinalIsAnError guards against an answer whose status is not from 200 to 599,
+// and against interim answers without end.
+func TestStatusThatIsNotFinalIsAnError(t *testing.T) {
+	heads := map[string]string{"endless interim answers": ""}
+	for _, status := range []string{"000", "001", "099", "100", "101", "103", "199", "600", "999"} {
+		heads[status] = "HTTP/1.1 " + status + " Status\r\nContent-Length: 5\r\n\r\nwhole"
+	}
+	for name, head := range heads {
+		address := startRawServer(t, func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, err := io.WriteString(conn, head)
+			for head == "" && err == nil {
+				_, err = fmt.Fprint(conn, "HTTP/1.1 103 Early Hints\r\n\r\n")
+			}
+		})
+		for kind, newClient := range clients {
+			if got, err := post(t, newClient("status"), address, []byte("body")); err == nil {
+				t.Errorf("%s client, %s: got %q as an answer", kind, name, got)
+			}
+		}
+	}
+}
--- a/httpserve/transport.go
+++ b/httpserve/transport.go
@@ -10,11 +10,21 @@
 	"sync"
 )
 
-// errBrokenOff reports a response without a length whose connection ended before the whole
-// request was written.
-var errBrokenOff = errors.New("httpserve: response broke off while the request was written")
+// Statuses of final responses.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+var (
+	errNotFinalStatus = errors.New("httpserve: status is not from 200 to 599")
+	// errBrokenOff reports a response without a length whose connection ended before the whole
+	// request was written.
+	errBrokenOff = errors.New("httpserve: response broke off while the request was written")
+)
 
-// transport is an http.Transport that returns no part of a response as a whole one.
+// transport is an http.Transport that returns no response with a status that is not final, and no
+// part of a response as a whole one.
 type transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -24,6 +34,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
+		resp.Body.Close()
+		return nil, fmt.Errorf("%w: %03d", errNotFinalStatus, resp.StatusCode)
+	}
 	if EndsWithConnection(resp) {
 		resp.Body = &unframedBody{ReadCloser: resp.Body, written: written, ctx: req.Context()}
 	}
