roster: late heartbeats of earlier incarnations count for nothing

Of two incarnations on one VM that with the newer row version counted as the newer one. If the store performs a heartbeat of the earlier one late, the later one is missing until its next heartbeat, and others may claim its jobs; a daemon that has left runs again for 3.2 s.

Change: incarnations are ordered by the read that first showed their rows. A row that comes back after its removal keeps that order and counts from its second heartbeat on. The observer has a file of its own.

Evidence: with the old order all four cases of TestLateHeartbeatOfAnEarlierIncarnationCountsForNothing fail; they pass now, as do the simulated fleets of 34, 133 and 410 daemons.

--- a/controller/roster/fleet_test.go
+++ b/controller/roster/fleet_test.go
@@ -96,7 +96,7 @@
 	at := f.now.Add(delay)
 	spread := time.Duration(i*37%90) * simStep
 	f.daemons[i] = &simDaemon{
-		peer: self, observer: &observer{members: make(map[string]*member), lastRead: at}, stoppedUntil: at,
+		peer: self, observer: newObserver(at), stoppedUntil: at,
 		nextRead: at.Add(spread), nextHeartbeat: at.Add(spread), nextRemoval: at.Add(spread + removalInterval),
 	}
 }
--- a/controller/roster/roster.go
+++ b/controller/roster/roster.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -88,25 +86,10 @@
 	}
 }
 
-// member is what was read of one incarnation of a daemon.
-type member struct {
-	peer      blackboard.Peer
-	version   int64
-	changedAt time.Duration // observer's time at the last change of the row
-}
-
-// observer decides which members run. It belongs to one goroutine. Its time advances only
-// while the store can be read.
-type observer struct {
-	elapsed  time.Duration // the observer's time: how long the store could be read
-	lastRead clock.Instant // when the last read was applied
-	members  map[string]*member
-}
-
 // RunObserver reads the rows of all members until ctx is done and publishes the running ones
 // and those that expired long ago.
 func (c *Controller) RunObserver(ctx context.Context) {
-	o := &observer{members: make(map[string]*member), lastRead: clock.Now()}
+	o := newObserver(clock.Now())
 	follow.PollTable(ctx, c.store, Table, readInterval, follow.NewAvailabilityLog(c.log, "rows of all daemons"), func(update store.TableUpdate, _ clock.Instant) {
 		c.observe(o, update)
 	})
@@ -125,87 +108,6 @@
 	c.publishExpired(o.expired())
 }
 
-// advance adds the time since the last read to the observer's time. It returns the part that
-// is not counted.
-func (o *observer) advance(now clock.Instant) (uncounted time.Duration) {
-	gap := now.Sub(o.lastRead)
-	o.elapsed += min(gap, maxCountedGap)
-	o.lastRead = now
-	return max(gap-maxCountedGap, 0)
-}
-
-// errForeignRow reports a row whose key is not the incarnation that it holds.
-var errForeignRow = errors.New("row is not one that a daemon writes of itself")
-
-// apply applies the rows of one read. It calls unreadable for each row that cannot be
-// decoded and skips the row.
-func (o *observer) apply(update store.TableUpdate, unreadable func(store.Row, error)) {
-	present := make(map[string]bool, len(update.Rows))
-	for _, row := range update.Rows {
-		if row.Deleted {
-			delete(o.members, row.Name)
-			continue
-		}
-		present[row.Name] = true
-		existing := o.members[row.Name]
-		if existing != nil {
-			if row.Version != existing.version {
-				existing.version, existing.changedAt = row.Version, o.elapsed
-			}
-			continue
-		}
-		m := &member{version: row.Version, changedAt: o.elapsed}
-		err := json.Unmarshal(row.Value, &m.peer)
-		if err == nil && m.peer.Incarnation != row.Name {
-			err = errForeignRow
-		}
-		if err != nil {
-			unreadable(row, err)
-			continue
-		}
-		o.members[row.Name] = m
-	}
-	if update.WholeTable {
-		for id := range o.members {
-			if !present[id] {
-				delete(o.members, id)
-			}
-		}
-	}
-}
-
-// running returns the members that run, ordered by name: those whose row changed lately,
-// and of several incarnations on one VM only the newest.
-func (o *observer) running() []blackboard.Peer {
-	newest := make(map[string]*member)
-	for _, m := range o.members {
-		if o.elapsed-m.changedAt > expiryTime {
-			continue
-		}
-		if other := newest[m.peer.Name]; other == nil || m.version > other.version {
-			newest[m.peer.Name] = m
-		}
-	}
-	peers := make([]blackboard.Peer, 0, len(newest))
-	for _, m := range newest {
-		peers = append(peers, m.peer)
-	}
-	slices.SortFunc(peers, func(a, b blackboard.Peer) int { return strings.Compare(a.Name, b.Name) })
-	return peers
-}
-
-// expired returns the incarnations of the members that expired long ago, sorted.
-func (o *observer) expired() []string {
-	var incarnations []string
-	for id, m := range o.members {
-		if o.elapsed-m.changedAt > removalTime {
-			incarnations = append(incarnations, id)
-		}
-	}
-	slices.Sort(incarnations)
-	return incarnations
-}
-
 // publishExpired publishes the members that expired long ago if they changed.
 func (c *Controller) publishExpired(incarnations []string) {
 	if !slices.Equal(c.board.ExpiredMembers.Value(), incarnations) {
--- a/controller/roster/roster_test.go
+++ b/controller/roster/roster_test.go
@@ -20,7 +20,7 @@
 }
 
 func newObserverTest(t *testing.T) *observerTest {
-	return &observerTest{observer: &observer{members: make(map[string]*member)}, t: t}
+	return &observerTest{observer: newObserver(0), t: t}
 }
 
 // read advances the clock and applies rows that the given members have just written.
@@ -83,6 +83,54 @@
 	}
 }
 
+// TestLateHeartbeatOfAnEarlierIncarnationCountsForNothing guards against a daemon that is taken for
+// gone, so that its batch jobs are claimed by others, and against one that left and is taken for
+// running, because the store performs a heartbeat late.
+func TestLateHeartbeatOfAnEarlierIncarnationCountsForNothing(t *testing.T) {
+	deleted := func(p blackboard.Peer) store.TableUpdate {
+		return store.TableUpdate{Response: store.Response{Rows: []store.Row{{Key: store.Key{Table: Table, Name: p.Incarnation}, Deleted: true}}}}
+	}
+	for name, c := range map[string]struct {
+		before func(o *observerTest)
+		want   string
+	}{
+		"killed and started again": {func(o *observerTest) { o.read(heartbeatInterval, a2) }, "a2 b1 "},
+		"stopped and started again": {func(o *observerTest) {
+			o.apply(deleted(a1), nil)
+			o.read(heartbeatInterval, a2)
+		}, "a2 b1 "},
+		"stopped for good":       {func(o *observerTest) { o.apply(deleted(a1), nil) }, "b1 "},
+		"missing in a read anew": {func(o *observerTest) { o.apply(store.TableUpdate{WholeTable: true}, nil); o.read(0, b1); o.read(0, b1) }, "b1 "},
+	} {
+		o := newObserverTest(t)
+		o.read(0, a1, b1)
+		c.before(o)
+		o.read(heartbeatInterval, b1, a1)
+		if got := o.names(); got != c.want {
+			t.Errorf("%s: after a late heartbeat %srun, want %s", name, got, c.want)
+		}
+	}
+}
+
+// TestMemberWhoseRowWasRemovedComesBack guards against a daemon that was cut off for so long that
+// its row was removed, and then never counts as running again.
+func TestMemberWhoseRowWasRemovedComesBack(t *testing.T) {
+	o := newObserverTest(t)
+	o.read(0, a1, b1)
+	o.apply(store.TableUpdate{WholeTable: true}, nil)
+	o.read(heartbeatInterval, a1)
+	o.read(heartbeatInterval, a1)
+	if got := o.names(); got != "a1 " {
+		t.Errorf("running: %s", got)
+	}
+	for range 700 {
+		o.read(time.Second, a1)
+	}
+	if len(o.removed) != 0 {
+		t.Errorf("%d removed members are remembered", len(o.removed))
+	}
+}
+
 func TestRowsOfExpiredMembersAreRemoved(t *testing.T) {
 	o := newObserverTest(t)
 	o.read(0, a1)
