httpserve: a broken-off answer counts as a lost connection

Change: the error wraps io.ErrUnexpectedEOF too, which the detection knows. TestCutAnswerToALongUploadIsIncomplete checks it. Found by reading.

--- a/httpserve/client_test.go
+++ b/httpserve/client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,8 +58,11 @@
 			})
 			client, whole := newClient("cut"), 0
 			for range tries {
-				if _, err := post(t, client, address, make([]byte, 4<<20)); err == nil {
+				_, err := post(t, client, address, make([]byte, 4<<20))
+				if err == nil {
 					whole++
+				} else if !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+					t.Errorf("%v does not show that the connection was lost", err)
 				}
 			}
 			if whole > 0 {
--- a/httpserve/transport.go
+++ b/httpserve/transport.go
@@ -20,7 +20,7 @@
 	errNotFinalStatus = errors.New("httpserve: status is not from 200 to 599")
 	// errBrokenOff reports a response without a length whose connection ended before the whole
 	// request was written.
-	errBrokenOff = errors.New("httpserve: response broke off while the request was written")
+	errBrokenOff = fmt.Errorf("httpserve: response broke off while the request was written: %w", io.ErrUnexpectedEOF)
 )
 
 // transport is an http.Transport that returns no response with a status that is not final, and no
