relay: routes of hosts without batch jobs may use the paths of the job API

Cause: the handler took these paths for calls about jobs on every host, before it looked for a route.

Change: where the host has a route for the path and none for batch jobs, the call is about a job only if the caller has one of the ID (JobServer.IsJobCall). The results of a job whose route was removed can still be read.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -201,6 +201,11 @@
 	return nil
 }
 
+// HasBatchRoute reports whether the host has a route for batch jobs.
+func (c *Catalog) HasBatchRoute(host string) bool {
+	return slices.ContainsFunc(c.routes[host], func(r *Route) bool { return r.Kind == KindBatch })
+}
+
 // RouteByName returns the named route, or nil.
 func (c *Catalog) RouteByName(name string) *Route { return c.byName[name] }
 
--- a/entrytest/fleet_test.go
+++ b/entrytest/fleet_test.go
@@ -3,6 +3,7 @@
 package entrytest
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -191,10 +192,11 @@
 	err    error // of the request or of reading the body
 }
 
-// request is a request to a daemon. The default method is POST; an empty id is replaced
-// by a new one.
+// request is a request to a daemon. The default method is POST and the default host is that of
+// the fleet; an empty id is replaced by a new one.
 type request struct {
 	method string
+	host   string
 	path   string
 	id     string
 	key    string
@@ -219,7 +221,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	req.Host = host
+	req.Host = cmp.Or(r.host, host)
 	req.Close = true
 	req.Header.Set("Request-Id", r.id)
 	if r.key != "" {
--- a/entrytest/jobowner_test.go
+++ b/entrytest/jobowner_test.go
@@ -185,6 +185,46 @@
 	}
 }
 
+// TestRoutesBelowThePathsOfTheJobAPI guards against online requests that are answered as calls about
+// a job that does not exist, because the route of another host has a path of that API, and against
+// calls about a job that reach an engine because its route was removed.
+func TestRoutesBelowThePathsOfTheJobAPI(t *testing.T) {
+	const shop = "shop.example"
+	f := newJobFleet(t, func(f *fleet) {
+		more := object{"host": shop, "kind": "retryable"}
+		f.config["routes"] = append([]object{
+			route("lots", "/v1/lots/", "retryable", more), route("items", "/v1/items/", "retryable", more), route("all", "/", "retryable", object{}),
+		}, f.config["routes"].([]object)...)
+	})
+	f.release()
+	if status := f.daemons[0].submitJob(t, "j", 1, 10); status != http.StatusAccepted {
+		t.Fatalf("submission: status %d, want 202", status)
+	}
+	f.daemons[1].checkCompletes(t, "j", 1, fullOutput)
+	read, readItem, _ := jobRequests("1000", key)
+	read.host, readItem.host = shop, shop
+	online := []request{read, readItem, {method: http.MethodDelete, host: shop, path: "/v1/lots/1000", key: key}}
+	for _, r := range online {
+		if got := f.statuses(t, r); got != both(http.StatusOK) {
+			t.Errorf("%s %s of a route: statuses %v, want 200 of an engine", r.method, r.path, got)
+		}
+	}
+	if got, want := f.engine.count(), 1+2*len(online); got != want {
+		t.Errorf("the engine ran %d requests, want %d", got, want)
+	}
+	routes := f.config["routes"].([]object)
+	f.config["routes"] = routes[:len(routes)-1] // without that of the job
+	f.publish()
+	eventually(t, "the batch route is gone", func() bool {
+		submit := request{path: "/jobs/k", id: "k", key: key, body: jobBody("k", 1, 1)}
+		got := f.statuses(t, submit)
+		return got == both(http.StatusOK) // as an online request of the route "/"
+	})
+	for _, d := range f.daemons {
+		d.checkCompletes(t, "j", 1, fullOutput)
+	}
+}
+
 // storedJobs returns the jobs with the id that the store holds for the workspaces of the tests.
 func (f *jobFleet) storedJobs(t *testing.T, id string) []job.Key {
 	t.Helper()
--- a/relay/jobkey.go
+++ b/relay/jobkey.go
@@ -42,6 +42,22 @@
 	return key, jobs.Get(key) != nil
 }
 
+// IsJobCall reports whether a call with the path of the job API is about the job with the ID.
+// Otherwise it is an online request: its host has a route for the path, but none for batch jobs,
+// and no job of the caller has the ID. The route of a job may have been removed.
+func (j *JobServer) IsJobCall(host, path, key, id string) bool {
+	cat := j.board.Catalog.Value()
+	if cat == nil || cat.HasBatchRoute(host) || cat.Route(host, path) == nil || !j.headsAreRecent() {
+		return true
+	}
+	identity := &Identity{Catalog: cat, Workspace: cat.WorkspaceByKey(key)}
+	if j.board.Jobs.Value().Get(identity.jobKey(id)) != nil {
+		return true
+	}
+	_, ok := j.inheritedJob(identity, id)
+	return ok
+}
+
 // headsAreRecent reports whether the jobs on the board were read from the store less than
 // maxHeadAge ago.
 func (j *JobServer) headsAreRecent() bool {
