httpserve: a body whose connection a failed write closed is broken off

Cause: if the write of a request fails first, net/http closes the connection, and the read of the response meets that in place of the reset.

Change: such an error counts as a response that broke off, with every framing.

--- a/httpserve/transport.go
+++ b/httpserve/transport.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -18,8 +19,7 @@
 
 var (
 	errNotFinalStatus = errors.New("httpserve: status is not from 200 to 599")
-	// errBrokenOff reports a response without a length whose connection ended before the whole
-	// request was written.
+	// errBrokenOff reports a response whose connection ended before the whole request was written.
 	errBrokenOff = fmt.Errorf("httpserve: response broke off while the request was written: %w", io.ErrUnexpectedEOF)
 )
 
@@ -38,9 +38,7 @@
 		resp.Body.Close()
 		return nil, fmt.Errorf("%w: %03d", errNotFinalStatus, resp.StatusCode)
 	}
-	if EndsWithConnection(resp) {
-		resp.Body = &unframedBody{ReadCloser: resp.Body, written: written, ctx: req.Context()}
-	}
+	resp.Body = &checkedBody{ReadCloser: resp.Body, unframed: EndsWithConnection(resp), written: written, ctx: req.Context()}
 	return resp, nil
 }
 
@@ -50,26 +48,30 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// unframedBody is the body of a response that ends with its connection. The end of the connection
-// is told to one system call only: after a reset that a write of the request met, a read shows a
-// plain end. The body is whole only if the whole request was written.
-type unframedBody struct {
+// checkedBody is the body of a response. The end of a connection is told to one system call only:
+// after a reset that a write of the request met, a read shows a plain end, or that net/http closed
+// the connection for it. A body that ends with its connection is whole only if the whole request
+// was written.
+type checkedBody struct {
 	io.ReadCloser
-	written *requestWrite
-	ctx     context.Context // of the request
+	unframed bool // the body ends with its connection
+	written  *requestWrite
+	ctx      context.Context // of the request
 }
 
 // Read implements io.Reader.
-func (b *unframedBody) Read(p []byte) (int, error) {
+func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
-	// net/http has closed the connection, so that a write that still waits ends too.
-	if writeErr := b.written.wait(b.ctx); writeErr != nil {
-		return n, fmt.Errorf("%w: %w", errBrokenOff, writeErr)
+	switch {
+	case err == io.EOF && b.unframed:
+		// net/http has closed the connection, so that a write that still waits ends too.
+		if writeErr := b.written.wait(b.ctx); writeErr != nil {
+			return n, fmt.Errorf("%w: %w", errBrokenOff, writeErr)
+		}
+	case errors.Is(err, net.ErrClosed):
+		return n, fmt.Errorf("%w: %w", errBrokenOff, err)
 	}
-	return n, io.EOF
+	return n, err
 }
 
 // requestWrite tells how the write of a request ended.
