--- a/agent/forward_test.go
+++ b/agent/forward_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -23,24 +22,18 @@
 // request and closes the connection. It returns the server's URL.
 func startRawUpstream(t *testing.T, response string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return startUpstream(t, func(conn *net.TCPConn, _ *http.Request) { fmt.Fprint(conn, response) })
+}
+
+// startUpstream starts a loopback.RawServer and returns its URL.
+func startUpstream(t *testing.T, answer func(conn *net.TCPConn, r *http.Request)) string {
+	t.Helper()
+	server, err := loopback.NewRawServer(answer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				fmt.Fprint(conn, response)
-			}
-			conn.Close()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	t.Cleanup(server.Close)
+	return "http://" + server.Address()
 }
 
 // rawResponse returns an HTTP response. A length below 0 omits the Content-Length header.
@@ -130,12 +123,7 @@
 		}
 	}
 	for name, answer := range answers {
-		server, err := loopback.NewRawServer(answer)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer server.Close()
-		up := &fleet.Upstream{Name: testUpstream, Kind: fleet.KindService, URL: "http://" + server.Address()}
+		up := &fleet.Upstream{Name: testUpstream, Kind: fleet.KindService, URL: startUpstream(t, answer)}
 		for range tries {
 			code, verdict := forwardBody(t, up, name == "cut stream", make([]byte, 4<<20))
 			if code != result.AnswerIncomplete && code != result.OutcomeUnknown || verdict != result.MayHaveRun {
--- a/entrytest/heads_test.go
+++ b/entrytest/heads_test.go
@@ -1,7 +1,6 @@
 package entrytest
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/baobablanding/baobablanding/loopback"
 )
 
 // rawEngine is a stand-in for an engine whose answers are written byte by byte.
@@ -20,32 +21,19 @@
 // one request; the connection is closed after it. number is the number of requests so far.
 func (f *fleet) startRawEngine(id string, answer func(conn net.Conn, r *http.Request, number int)) *rawEngine {
 	f.t.Helper()
-	listener, err := net.Listen("tcp", address(f.t))
+	e := &rawEngine{engine{t: f.t, id: id}}
+	server, err := loopback.NewRawServer(func(conn *net.TCPConn, r *http.Request) { e.answerOne(conn, r, answer) })
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	e := &rawEngine{engine{t: f.t, id: id, address: listener.Addr().String()}}
-	f.t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.answerOne(conn, answer)
-		}
-	}()
+	f.t.Cleanup(server.Close)
+	e.address = server.Address()
 	f.register(&e.engine, "ready", 0)
 	return e
 }
 
-// answerOne reads one request from the connection and answers it.
-func (e *rawEngine) answerOne(conn net.Conn, answer func(net.Conn, *http.Request, int)) {
-	defer conn.Close()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
+// answerOne reads the body of the request and answers it.
+func (e *rawEngine) answerOne(conn net.Conn, r *http.Request, answer func(net.Conn, *http.Request, int)) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	e.mu.Lock()
 	e.requests = append(e.requests, r)
