budget: an evicted connection has left when its eviction returns

Cause: the eviction and net/http both close the evicted connection. The second call of Leave returned at once, while the first had not given the room back yet, so that the eviction found no room. A trial with a line at each eviction and refusal showed it.

Change: Leave runs once, and each call returns after that.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -43,6 +43,37 @@
 	return c
 }
 
+// TestEvictionFreesRoomAtOnce guards against a new connection that is refused because the one that
+// was evicted for it is just closing by itself.
+func TestEvictionFreesRoomAtOnce(t *testing.T) {
+	p := newBudget(Limits{MemoryBytes: 64 << 20, Descriptors: minConnections}).NewPool(1)
+	now := clock.Now()
+	for len(p.free) > 0 {
+		open(p, RankIdle, now)
+	}
+	const rounds = 20_000
+	refused := 0
+	for i := range rounds {
+		c := open(p, RankIdle, now.Add(time.Duration(i-rounds))) // the oldest, which is evicted next
+		if c == nil {
+			refused++
+			continue
+		}
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			c.member.Leave()
+		}()
+		if next := open(p, RankIdle, now); next == nil {
+			refused++
+		}
+		<-closed
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d connections were refused", refused, 2*rounds)
+	}
+}
+
 // TestOldestIdleConnectionIsClosedFirst guards against a full process that refuses ordinary
 // callers or closes busy or recent connections while older idle ones exist.
 func TestOldestIdleConnectionIsClosedFirst(t *testing.T) {
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/baobablanding/baobablanding/clock"
@@ -53,6 +54,7 @@
 	holder Holder       // set before the member is in pool.members
 	head   atomic.Int64 // bytes taken for an incomplete head
 	left   atomic.Bool
+	leave  sync.Once
 }
 
 // minConnections is the smallest pool: a few connections of a load balancer or a scraper.
@@ -196,13 +198,17 @@
 	}
 }
 
-// Leave gives back all that the connection holds. It may be called more than once.
+// Leave gives back all that the connection holds. It may be called more than once; each call
+// returns after the room is free, which whoever evicts the connection counts on.
 func (m *Member) Leave() {
-	if m == nil || m.left.Swap(true) {
+	if m == nil {
 		return
 	}
-	m.ReleaseHead()
-	m.pool.members[m.index].Store(nil)
-	m.pool.budget.Release(connCost)
-	m.pool.free <- m.index
+	m.leave.Do(func() {
+		m.left.Store(true)
+		m.ReleaseHead()
+		m.pool.members[m.index].Store(nil)
+		m.pool.budget.Release(connCost)
+		m.pool.free <- m.index
+	})
 }
