--- a/controller/roster/observer.go
+++ b/controller/roster/observer.go
@@ -26,9 +26,9 @@
 	unconfirmed bool          // the row came back after its removal, perhaps by a late heartbeat
 }
 
-// isNewerThan reports whether the incarnation started after the other one on its VM: its row
-// appeared later. A late heartbeat may give the row of the earlier one the newer version. That
-// decides only between rows that the first read showed both.
+// isNewerThan reports whether the incarnation started after the other one on its VM. Its row
+// appeared in a later read then. The version decides only between rows that appeared in the same
+// read, since a heartbeat that the store performs late gives the earlier one the newer version.
 func (m *member) isNewerThan(other *member) bool {
 	if m.firstRead != other.firstRead {
 		return m.firstRead > other.firstRead
--- a/httpserve/client.go
+++ b/httpserve/client.go
@@ -20,8 +20,8 @@
 // NewClient returns an HTTP client with its own connection pool, which is safe for
 // concurrent use and does not follow redirects. It returns no response with a status that is not
 // from 200 to 599, and fails at the end of one without a length if that may have broken off. The
-// name identifies the remote service to go-zero. Its circuit breaker is disabled for the name, since the gateways decide
-// when an upstream gets no requests.
+// name identifies the remote service to go-zero. Its circuit breaker is disabled for the name,
+// since the gateways decide when an upstream gets no requests.
 func NewClient(name string) httpc.Service {
 	service, _ := NewClientWithCloseIdle(name)
 	return service
--- a/httpserve/transport.go
+++ b/httpserve/transport.go
@@ -48,10 +48,9 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// checkedBody is the body of a response. The end of a connection is told to one system call only:
-// after a reset that a write of the request met, a read shows a plain end, or that net/http closed
-// the connection for it. A body that ends with its connection is whole only if the whole request
-// was written.
+// checkedBody is the body of a response. The system tells of a reset only once: if a write of the
+// request learns of it, a read shows a plain end, or that net/http has closed the connection because
+// of the write. A body that ends with its connection is whole only if the whole request was written.
 type checkedBody struct {
 	io.ReadCloser
 	unframed bool // the body ends with its connection
