rollouts: the time in a stage begins anew after an outage of the store

Seen: TestStoreIsUnavailableAtEachStage/switch failed in 2 of 14 runs beside other load: one request went to an old engine after the roll-out was completed.

Cause: while nobody can read the store, daemons go on with the stage that they read last, perhaps the one before the switch. The owner counted the outage as time in which they could learn of the switch, and completed the roll-out as soon as it read the store again, before the others heard of that.

Change: the time in a stage begins anew at the end of an outage for all daemons. It holds only where the settings ask for roll-outs.

Evidence: TestTimeInStageBeginsAnewAfterAnOutage gets 11 s one second after an outage of ten without the change, 1 s with it.

--- a/controller/rollouts/owner.go
+++ b/controller/rollouts/owner.go
@@ -175,7 +175,7 @@
 		c.end(ctx, service, s, r.version, next, reason)
 	default:
 		if now.Sub(s.changedAt) >= leaseRenewal {
-			next.InStageMs = now.Sub(s.stageFrom).Milliseconds()
+			next.InStageMs = c.timeInStage(s, now).Milliseconds()
 			c.write(ctx, service, s, r.version, next, nil, "", "")
 		}
 	}
@@ -213,7 +213,7 @@
 	duration := time.Duration(r.DurationMs) * time.Millisecond
 	situation := &rollout.Situation{
 		Stage: r.stage(), Duration: duration, IsWanted: r.isOf(order), IsInUse: r.InUse == r.To,
-		InStage: now.Sub(s.stageFrom), Left: r.deadline() - c.board.StoreNow(),
+		InStage: c.timeInStage(s, now), Left: r.deadline() - c.board.StoreNow(),
 		Evidence: evidenceOf(totals, 0),
 	}
 	if cat := c.board.Catalog.Value(); cat != nil {
@@ -234,6 +234,13 @@
 	return situation
 }
 
+// timeInStage returns for how long the stage was written and could be read. It begins anew after an
+// outage of the store: the other daemons went on with the stage that they had read before, and still
+// do until they hear that the store is available.
+func (c *Controller) timeInStage(s *serviceState, now clock.Instant) time.Duration {
+	return now.Sub(max(s.stageFrom, c.outageAt))
+}
+
 // longestRequest returns the longest time limit of the service's routes whose requests cannot
 // move to another engine.
 func longestRequest(cat *catalog.Catalog, service string) time.Duration {
--- a/controller/rollouts/rollouts.go
+++ b/controller/rollouts/rollouts.go
@@ -62,8 +62,9 @@
 	services map[string]*serviceState
 	// enginesSeen is the version of the section Engines whose services were added.
 	enginesSeen uint64
-	isValid     bool        // the versions might be used at the last tick
-	events      chan func() // run by the goroutine of Run
+	isValid     bool          // the versions might be used at the last tick
+	outageAt    clock.Instant // when the store was last unavailable to all daemons, or 0
+	events      chan func()   // run by the goroutine of Run
 
 	mu      sync.Mutex // guards the fields below
 	records map[string]versionedRecord
@@ -266,5 +267,9 @@
 	if c.readAt >= c.orders.unbrokenFrom && !c.hasLiveOrder(orders) {
 		c.orders.idleUntil = orders.ReadAt.Add(idleValidity)
 	}
-	return max(c.readAt.Add(rollout.Validity), c.orders.idleUntil, outageValidUntil(c.board, now))
+	outageUntil := outageValidUntil(c.board, now)
+	if outageUntil != 0 {
+		c.outageAt = now
+	}
+	return max(c.readAt.Add(rollout.Validity), c.orders.idleUntil, outageUntil)
 }
--- a/controller/rollouts/rollouts_test.go
+++ b/controller/rollouts/rollouts_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/baobablanding/baobablanding/blackboard"
+	"github.com/baobablanding/baobablanding/clock"
 	"github.com/baobablanding/baobablanding/store"
 )
 
@@ -103,6 +105,30 @@
 	}
 }
 
+// TestTimeInStageBeginsAnewAfterAnOutage guards against an owner that gives the old engines up as
+// soon as it reads the store again, while other daemons still go on with the stage before.
+func TestTimeInStageBeginsAnewAfterAnOutage(t *testing.T) {
+	board := blackboard.NewEntryBoard()
+	board.Roster.Publish(&blackboard.Roster{Members: make([]blackboard.Peer, 4), Loaded: true})
+	c := New(board, nil, statusRows{}, Bounds{}, nil)
+	start := clock.Now()
+	s := &serviceState{ownership: ownership{stageFrom: start}}
+	board.ConfigRead.Publish(blackboard.ConfigRead{SentAt: start})
+	board.RolloutOrders.Publish(blackboard.RolloutOrders{ReadAt: start})
+	c.readAt = start
+	board.ReportingDaemons.Store(4)
+	for now := start; now < start.Add(10*time.Second); now = now.Add(tickInterval) {
+		board.ReportsAt.Store(int64(now))
+		c.validUntil(now)
+	}
+	end := start.Add(10 * time.Second)
+	board.ConfigRead.Publish(blackboard.ConfigRead{SentAt: end})
+	c.validUntil(end)
+	if got := c.timeInStage(s, end.Add(time.Second)); got < time.Second || got > 2*time.Second {
+		t.Errorf("one second after an outage of ten the time in the stage is %v", got)
+	}
+}
+
 // TestDaemonThatIsCutOffStopsUsingOldEngines guards against requests to old engines after
 // their version was given up, by a daemon that hears neither the store nor others.
 func TestDaemonThatIsCutOffStopsUsingOldEngines(t *testing.T) {
