--- a/entrytest/cutanswers_test.go
+++ b/entrytest/cutanswers_test.go
@@ -18,8 +18,8 @@
 const (
 	longUpload = 4 << 20
 	longItem   = 300 << 10
-	// cutTries is how often each path meets an engine that breaks its answer off. Without the
-	// check of the end, about two of three parts looked whole.
+	// cutTries is how often each path meets an engine in trouble: whether the write of the request
+	// learns of a reset depends on timing.
 	cutTries = 8
 	cutWait  = 10 * time.Millisecond
 )
