httpserve: the end of a request's write without a lock

Change: the write on each connection has a value of its own, replaced when net/http takes another connection, and ended once by compare-and-swap. No other behaviour.

--- a/httpserve/transport.go
+++ b/httpserve/transport.go
@@ -8,7 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
+	"sync/atomic"
 )
 
 // Statuses of final responses.
@@ -73,14 +73,21 @@
 	return n, err
 }
 
-// requestWrite tells how the write of a request ended.
-type requestWrite struct {
-	mu    sync.Mutex
-	ended chan struct{} // closed when err is set
-	err   error
+// requestWrite tells how the write of a request ended. Its methods take no lock.
+type requestWrite struct{ current atomic.Pointer[writeEnd] }
+
+// writeEnd is the end of the write on one connection.
+type writeEnd struct {
+	ended atomic.Bool
+	err   error         // set before done is closed
+	done  chan struct{} // closed at the end
 }
 
-func newRequestWrite() *requestWrite { return &requestWrite{ended: make(chan struct{})} }
+func newRequestWrite() *requestWrite {
+	w := new(requestWrite)
+	w.begin()
+	return w
+}
 
 // trace returns a context for the request, which makes net/http report the write.
 func (w *requestWrite) trace(ctx context.Context) context.Context {
@@ -91,34 +98,24 @@
 }
 
 // begin forgets an earlier write: net/http sends a request again if a pooled connection failed.
-func (w *requestWrite) begin() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.ended, w.err = make(chan struct{}), nil
-}
+func (w *requestWrite) begin() { w.current.Store(&writeEnd{done: make(chan struct{})}) }
 
+// end records the end of the write. That on an earlier connection may be reported late.
 func (w *requestWrite) end(err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	select {
-	case <-w.ended: // the write on an earlier connection ended late
-	default:
-		w.err = err
-		close(w.ended)
+	e := w.current.Load()
+	if e.ended.CompareAndSwap(false, true) {
+		e.err = err
+		close(e.done)
 	}
 }
 
 // wait waits for the end of the write and returns its error, or that of ctx if it ends first.
 func (w *requestWrite) wait(ctx context.Context) error {
-	w.mu.Lock()
-	ended := w.ended
-	w.mu.Unlock()
+	e := w.current.Load()
 	select {
-	case <-ended:
+	case <-e.done:
+		return e.err
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.err
 }
