relay: say which jobs inheritedJob may return

Cause: read anew, its comment hid that it may return a job of the present configuration where no keys are needed. No change of behaviour; the packages build.

--- a/relay/jobkey.go
+++ b/relay/jobkey.go
@@ -29,10 +29,11 @@
 	return err
 }
 
-// inheritedJob returns the key of a job of another workspace that the caller may use, among the jobs
-// that this daemon knows. Callers with a key may use jobs without a workspace: everyone could when
-// these were accepted. Where no keys are needed, callers may use every job. inheritedJob reports
-// false if there is none.
+// inheritedJob returns the key of a job that was accepted under an earlier configuration and that the
+// caller may use, among the jobs that this daemon knows. Callers with a key may use jobs without a
+// workspace: everyone could when these were accepted. Where no keys are needed, callers may use every
+// job, and the one found may also be of the present configuration. inheritedJob reports false if there
+// is none.
 func (j *JobServer) inheritedJob(identity *Identity, id string) (key job.Key, ok bool) {
 	jobs := j.board.Jobs.Value()
 	if !identity.Catalog.RequiresKeys() {
