--- a/review/standins-3/bed/script.go
+++ b/review/standins-3/bed/script.go
@@ -70,14 +70,21 @@
 	s.Engines = append(s.Engines, StartEngine(s.Store, c))
 }
 
+// AddDaemon starts a daemon in the zone.
+func (s *Script) AddDaemon(contracts, name, zone string) *Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := StartDaemon(s.dir, name, zone, contracts, s.Store)
+	s.Daemons = append(s.Daemons, d)
+	return d
+}
+
 // StartDaemons starts a daemon in each zone and waits until all know each other. It reports whether
 // all became ready.
 func (s *Script) StartDaemons(contracts string, zones ...string) bool {
-	s.mu.Lock()
 	for _, zone := range zones {
-		s.Daemons = append(s.Daemons, StartDaemon(s.dir, "edge-"+zone+"-1", zone, contracts, s.Store))
+		s.AddDaemon(contracts, "edge-"+zone+"-1", zone)
 	}
-	s.mu.Unlock()
 	for _, d := range s.Daemons {
 		if !d.AwaitReady(10 * time.Second) {
 			s.Add("%s is not ready", d.Name)
