--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,5 +3,5 @@
 # case could not run. TROUBLE=0 leaves the disruption out. Needs the build of deploy/system.toml and
 # review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/baobab-entry ] && [ -x target/review-3/oneslot ] || exit 2
-exec target/review-3/oneslot review/15/record.txt
+[ -x target/baobab-entry ] && [ -x target/review-3/cases ] || exit 2
+exec target/review-3/cases oneslot review/15/record.txt
--- a/review/standins-3/bed/process.go
+++ b/review/standins-3/process_test.go
@@ -1,4 +1,6 @@
-package bed
+//go:build review
+
+package cases
 
 import (
 	"fmt"
